--- /dev/null
+++ b/src/clients/cloud.ts
@@ -0,0 +1,88 @@
+import type { Clock } from '../duties/clock.js';
+import { HttpClient, NoAnswer } from '../http/client.js';
+import {
+  machineListTarget,
+  PATHS,
+  parseMachineList,
+  parseRented,
+  parseTypes,
+  type RentRequest,
+  rentBody,
+  returnBody,
+} from '../protocol/wire.js';
+import { Budget, Priority } from './budget.js';
+
+/** The protocol's bound on names in one return. */
+export const RETURN_LIMIT = 100;
+/** The protocol's bound on machines in one rental. */
+export const RENT_LIMIT = 50;
+const LIST_LIMIT = 500;
+
+export class CloudClient {
+  private readonly http: HttpClient;
+  private readonly budget: Budget;
+
+  constructor(
+    private readonly options: {
+      address: { host: string; port: number };
+      requestsPerS: number;
+      timeoutMs: number;
+      clock: Clock;
+    },
+  ) {
+    this.http = new HttpClient(options.address, { connections: 4, bodyLimit: 2 * 1024 * 1024 });
+    this.budget = new Budget(options.requestsPerS, options.requestsPerS, options.clock.now());
+  }
+
+  async types(signal?: AbortSignal) {
+    return parseTypes(await this.call('GET', PATHS.types, undefined, signal));
+  }
+
+  /** One page of the machine list. */
+  async list(after: string | null, signal?: AbortSignal) {
+    return parseMachineList(
+      await this.call('GET', machineListTarget(after, LIST_LIMIT), undefined, signal),
+    );
+  }
+
+  /** The machines rented; null when the cloud has no capacity. A lost answer is asked for again under the same name. */
+  async rent(request: RentRequest, signal?: AbortSignal): Promise<string[] | null> {
+    await this.pace(signal);
+    const answer = await this.http.request(
+      'POST',
+      PATHS.machines,
+      rentBody(request),
+      this.options.timeoutMs,
+      signal,
+    );
+    if (answer.status === 200) return parseRented(answer.body);
+    const text = JSON.stringify(answer.body);
+    if (answer.status === 503 && text.includes('no capacity')) return null;
+    throw new NoAnswer(`cloud answered ${answer.status}: ${text.slice(0, 200)}`);
+  }
+
+  /** Resolves only when the cloud has said that the machines are gone. */
+  async giveBack(machines: string[], signal?: AbortSignal): Promise<void> {
+    await this.call('POST', PATHS.returnMachines, returnBody(machines), signal);
+  }
+
+  close(): void {
+    this.http.close();
+  }
+
+  private async call(method: string, target: string, body: unknown, signal?: AbortSignal) {
+    await this.pace(signal);
+    const answer = await this.http.request(method, target, body, this.options.timeoutMs, signal);
+    if (answer.status !== 200) throw new NoAnswer(`cloud answered ${answer.status}`);
+    return answer.body;
+  }
+
+  private async pace(signal?: AbortSignal): Promise<void> {
+    const { clock } = this.options;
+    for (;;) {
+      const wait = this.budget.take(1, Priority.users, clock.now());
+      if (wait === 0) return;
+      await clock.sleep(wait, signal);
+    }
+  }
+}
--- /dev/null
+++ b/src/clients/state.ts
@@ -0,0 +1,204 @@
+import type { Clock } from '../duties/clock.js';
+import { type Answer, HttpClient, NoAnswer } from '../http/client.js';
+import {
+  type Change,
+  type Condition,
+  type Entry,
+  grantBody,
+  keyTarget,
+  leaseTarget,
+  listTarget,
+  parseEntry,
+  parseEvents,
+  parseFailed,
+  parseLease,
+  parsePage,
+  parseRevision,
+  type StoreEvent,
+  transactionBody,
+  watchTarget,
+} from '../protocol/store.js';
+import { PATHS } from '../protocol/wire.js';
+import { Budget, Priority } from './budget.js';
+
+/** The state service did not serve the request, and it was not carried out. */
+export class Refused extends Error {
+  constructor(readonly retryMs: number) {
+    super('state service refused');
+  }
+}
+
+export interface Transaction {
+  ok: boolean;
+  revision: number;
+  failed: string[];
+}
+
+export interface StateOptions {
+  address: { host: string; port: number };
+  requestsPerS: number;
+  changesPerS: number;
+  timeoutMs: number;
+  connections: number;
+  clock: Clock;
+}
+
+/** What the duties use of the state service; the tests put a scripted one in its place. */
+export interface StateService {
+  get(key: string, priority: Priority, signal?: AbortSignal): Promise<Entry | null>;
+  listPage(
+    prefix: string,
+    after: string | null,
+    signal?: AbortSignal,
+  ): Promise<{ entries: Entry[]; more: boolean; revision: number }>;
+  transact(
+    conditions: Condition[],
+    changes: Change[],
+    priority: Priority,
+    signal?: AbortSignal,
+  ): Promise<Transaction>;
+  grant(ttlMs: number, signal?: AbortSignal): Promise<number>;
+  touch(lease: number, signal?: AbortSignal): Promise<boolean>;
+  revoke(lease: number, signal?: AbortSignal): Promise<void>;
+  /** Null: the revision is too old, read the keys again. */
+  watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<{ events: StoreEvent[]; revision: number } | null>;
+}
+
+/** The largest page that a list answers, with room for its frame. */
+const LIST_LIMIT = 500;
+const BODY_LIMIT = 4 * 1024 * 1024;
+
+export class StateClient implements StateService {
+  private readonly http: HttpClient;
+  private readonly watches: HttpClient;
+  private readonly requests: Budget;
+  private readonly changes: Budget;
+  private queued = 0;
+
+  constructor(private readonly options: StateOptions) {
+    const { requestsPerS, changesPerS, clock } = options;
+    this.http = new HttpClient(options.address, {
+      connections: options.connections,
+      bodyLimit: BODY_LIMIT,
+    });
+    this.watches = new HttpClient(options.address, { connections: 4, bodyLimit: BODY_LIMIT });
+    this.requests = new Budget(requestsPerS, requestsPerS, clock.now());
+    this.changes = new Budget(changesPerS, changesPerS, clock.now());
+  }
+
+  async get(key: string, priority: Priority, signal?: AbortSignal): Promise<Entry | null> {
+    const answer = await this.call('GET', keyTarget(key), undefined, priority, 0, signal);
+    return answer.status === 404 ? null : parseEntry(answer.body);
+  }
+
+  async listPage(prefix: string, after: string | null, signal?: AbortSignal) {
+    const target = listTarget(prefix, after, LIST_LIMIT);
+    return parsePage((await this.call('GET', target, undefined, Priority.ends, 0, signal)).body);
+  }
+
+  async transact(
+    conditions: Condition[],
+    changes: Change[],
+    priority: Priority,
+    signal?: AbortSignal,
+  ): Promise<Transaction> {
+    const body = transactionBody(conditions, changes);
+    const answer = await this.call(
+      'POST',
+      PATHS.transaction,
+      body,
+      priority,
+      changes.length,
+      signal,
+    );
+    return {
+      ok: answer.status === 200,
+      revision: parseRevision(answer.body),
+      failed: answer.status === 409 ? parseFailed(answer.body) : [],
+    };
+  }
+
+  async grant(ttlMs: number, signal?: AbortSignal): Promise<number> {
+    const body = grantBody(Math.round(ttlMs));
+    return parseLease(
+      (await this.call('POST', PATHS.leases, body, Priority.lease, 0, signal)).body,
+    );
+  }
+
+  async touch(lease: number, signal?: AbortSignal): Promise<boolean> {
+    const target = leaseTarget(lease, true);
+    return (await this.call('POST', target, {}, Priority.lease, 0, signal)).status === 200;
+  }
+
+  async revoke(lease: number, signal?: AbortSignal): Promise<void> {
+    await this.call('DELETE', leaseTarget(lease, false), undefined, Priority.lease, 0, signal);
+  }
+
+  async watch(prefix: string, after: number, waitMs: number, signal?: AbortSignal) {
+    await this.spend(Priority.users, 0, signal);
+    const answer = await this.watches.request(
+      'GET',
+      watchTarget(prefix, after, Math.round(waitMs)),
+      undefined,
+      waitMs + this.options.timeoutMs * 2,
+      signal,
+    );
+    if (answer.status === 410) return null;
+    return parseEvents(this.check(answer).body);
+  }
+
+  close(): void {
+    this.http.close();
+    this.watches.close();
+  }
+
+  private async call(
+    method: string,
+    target: string,
+    body: unknown,
+    priority: Priority,
+    changes: number,
+    signal?: AbortSignal,
+  ): Promise<Answer> {
+    await this.spend(priority, changes, signal);
+    return this.check(
+      await this.http.request(method, target, body, this.options.timeoutMs, signal),
+    );
+  }
+
+  /** Waits for the budget, within the time that an answer could still be of use. */
+  private async spend(priority: Priority, changes: number, signal?: AbortSignal): Promise<void> {
+    const { clock, timeoutMs, requestsPerS } = this.options;
+    const deadline = clock.now() + timeoutMs;
+    for (;;) {
+      let wait = this.requests.take(1, priority, clock.now());
+      if (wait === 0 && changes > 0) wait = this.changes.take(changes, priority, clock.now());
+      if (wait === 0) return;
+      if (clock.now() + wait > deadline || this.queued > requestsPerS) throw new Refused(wait);
+      this.queued++;
+      try {
+        await clock.sleep(wait, signal);
+      } finally {
+        this.queued--;
+      }
+    }
+  }
+
+  private check(answer: Answer): Answer {
+    if (answer.status === 429) {
+      this.requests.refused(this.options.clock.now());
+      throw new Refused(1000);
+    }
+    if (answer.status === 503) throw new Refused(1000);
+    if (![200, 400, 404, 409].includes(answer.status))
+      throw new NoAnswer(`state service answered ${answer.status}`);
+    if (answer.status === 400)
+      throw new NoAnswer(`state service answered 400: ${JSON.stringify(answer.body)}`);
+    return answer;
+  }
+}
--- /dev/null
+++ b/src/config/timing.ts
@@ -0,0 +1,62 @@
+import type { Platform } from './settings.js';
+
+/** Clocks of two machines drift apart by at most this share (protocol). */
+export const DRIFT = 0.0005;
+
+/**
+ * Every timer and bound of the daemon, each a ratio to a figure of the
+ * settings. Durations are in milliseconds.
+ */
+export interface Timing {
+  /** Life of the leader's lease in the state service. */
+  leaseMs: number;
+  renewMs: number;
+  /** After the sending of a renewal that succeeded, leadership counts as proven for this long. */
+  provenMs: number;
+  /** Without proof for this long, reports are no longer answered, so that the workers' leases run out in time. */
+  answerMs: number;
+  stateTimeoutMs: number;
+  watchMs: number;
+  userTimeoutMs: number;
+  cloudTimeoutMs: number;
+  commandTimeoutMs: number;
+  listMs: number;
+  /** A list asked for this long after a machine was last known to exist must show it. */
+  listProofMs: number;
+  typesMs: number;
+  roundMs: number;
+  flushMs: number;
+  rentMs: number;
+  silentMs: number;
+  workerLeaseMs: number;
+}
+
+export function timingOf(platform: Platform): Timing {
+  const { workers, cloud, state } = platform.settings;
+  const reportMs = workers.report_s * 1000;
+  const workerLeaseMs = workers.lease_s * 1000;
+  const cancelMs = workers.cancel_s * 1000;
+  const lagMs = cloud.list_lag_s * 1000;
+  const leaseMs = Math.min(workerLeaseMs * 0.2, reportMs * 1.5);
+  return {
+    leaseMs,
+    renewMs: leaseMs * 0.25,
+    provenMs: leaseMs * 0.75 * (1 - DRIFT),
+    // The worker's lease runs from the sending of a report that may itself be four seconds old (its time-out); a tenth more covers drift and our own lateness.
+    answerMs: Math.max(0, (cancelMs - workerLeaseMs) * 0.9 - reportMs),
+    stateTimeoutMs: reportMs * 0.4,
+    watchMs: reportMs * 2,
+    userTimeoutMs: reportMs * 0.8,
+    cloudTimeoutMs: reportMs * 2,
+    commandTimeoutMs: reportMs * 0.5,
+    listMs: Math.max(lagMs * 0.6, 1500 / cloud.rps),
+    listProofMs: lagMs * 3 + reportMs,
+    typesMs: lagMs * 6 + reportMs,
+    roundMs: reportMs / 30,
+    // A fifth of the changes a second may go to progress, and a reader should see an end well within a report.
+    flushMs: Math.max(reportMs / 30, 5000 / state.write_rps),
+    rentMs: reportMs / 3,
+    silentMs: reportMs * 3,
+    workerLeaseMs,
+  };
+}
--- /dev/null
+++ b/src/core/cluster.ts
@@ -0,0 +1,516 @@
+import { Job } from './job.js';
+import { type Binding, bindingKey, type Drain, Machine } from './machine.js';
+import type {
+  JobSpec,
+  ListedMachine,
+  MachineReport,
+  MachineType,
+  Order,
+  TaskReport,
+  Team,
+} from './model.js';
+
+/** Tells why a larger decision was made; the duties write it to the log. */
+export type Note = (message: string, fields: Record<string, unknown>) => void;
+
+/** Figures of the settings that the core needs, in milliseconds. */
+export interface CoreTiming {
+  reportMs: number;
+  workerLeaseMs: number;
+  listProofMs: number;
+  silentMs: number;
+}
+
+export interface CorePolicy {
+  weights: { throughput: number; cost: number; locality: number };
+  headroom: number;
+  drainBoots: number;
+  idleBoots: number;
+  bootPatience: number;
+  backoffBoots: number;
+  sickJobs: number;
+  sickFailures: number;
+  faultyMachines: number;
+  machineStarts: number;
+}
+
+/** A class's aim on starting, from the settings' objectives. */
+export interface ClassAim {
+  waitS: number | null;
+}
+
+export interface Use {
+  cpus: number;
+  gpus: number;
+}
+
+/** Attempts rise across leaders: the term is the high part. */
+const ATTEMPTS_PER_TERM = 2 ** 28;
+/** Keeps an answer's one line well below the protocol's 64 KiB. */
+const ORDERS_PER_ANSWER = 250;
+const TOMBSTONES = 2000;
+
+/**
+ * The leader's picture of one term: made anew at each takeover, dropped when
+ * leadership ends. Events and the time go in, orders come out.
+ */
+export class Cluster {
+  readonly jobs = new Map<string, Job>();
+  readonly machines = new Map<string, Machine>();
+  readonly teamUse = new Map<string, Use>();
+  readonly types = new Map<string, MachineType>();
+  /** Machines proven gone, so that a late report does not bring one back. */
+  private readonly tombstones = new Set<string>();
+  readonly rosterPuts = new Set<Machine>();
+  readonly rosterDeletes = new Set<string>();
+  /** Keys of ended jobs' chunks that nobody needs. */
+  readonly cleanup = new Set<string>();
+  private readonly strayTasks = new Map<string, TaskReport[]>();
+  /** How far owners' estimates are off, by class: actual over estimated. */
+  private readonly ratios = new Map<string, number>();
+  /** Something happened that may let a task be placed. */
+  stirred = true;
+  /** Time of day less steady time, for ages of jobs. */
+  wallOffset = 0;
+  private attempts = 0;
+
+  constructor(
+    readonly term: number,
+    readonly teams: Map<string, Team>,
+    readonly timing: CoreTiming,
+    readonly policy: CorePolicy,
+    readonly aims: Map<string, ClassAim>,
+    readonly tasksPerChunk: number,
+    readonly note: Note,
+  ) {}
+
+  setTypes(types: MachineType[]): void {
+    for (const t of types) {
+      const old = this.types.get(t.name);
+      // Machines hold the object: prices move in place.
+      if (old) Object.assign(old, t);
+      else this.types.set(t.name, t);
+    }
+  }
+
+  // Jobs
+
+  addJob(spec: JobSpec, version: number, acceptedAt: number, inherited: boolean): Job | null {
+    if (this.jobs.has(spec.id)) return null;
+    const job = new Job(spec, version, acceptedAt, inherited);
+    this.jobs.set(spec.id, job);
+    this.stirred = true;
+    return job;
+  }
+
+  /** The job has been cancelled or its end is durable: nothing of it may start, what runs is stopped. */
+  endJob(id: string): void {
+    const job = this.jobs.get(id);
+    if (!job) return;
+    job.over = true;
+    this.jobs.delete(id);
+    for (const chunk of job.chunks) this.cleanup.add(chunkKey(id, chunk));
+    for (const b of [...job.bound.values()]) {
+      if (b.state === 'assigned' && b.sentSeq === null && !b.direct) this.release(b, 0);
+      else b.stop = { graceS: 0, since: 0 };
+    }
+    for (const waiting of job.dirty.values()) for (const b of waiting) b.settled = true;
+    job.dirty.clear();
+    this.stirred = true;
+  }
+
+  ageMs(job: Job, now: number): number {
+    return now + this.wallOffset - job.acceptedAt;
+  }
+
+  estimateS(spec: JobSpec): number {
+    return Math.max(0.5, spec.estimateS * (this.ratios.get(spec.jobClass) ?? 1));
+  }
+
+  remainingS(b: Binding, now: number): number {
+    const estimate = this.estimateS(b.job.spec);
+    if (b.runningSince === null) return estimate;
+    // A task that has outrun its estimate is expected to need a part of it more.
+    return Math.max(estimate - (now - b.runningSince) / 1000, estimate * 0.2);
+  }
+
+  private learn(b: Binding, now: number): void {
+    const spec = b.job.spec;
+    if (b.runningSince === null || spec.estimateS <= 0) return;
+    const seen = Math.min(5, Math.max(0.2, (now - b.runningSince) / 1000 / spec.estimateS));
+    const old = this.ratios.get(spec.jobClass) ?? 1;
+    this.ratios.set(spec.jobClass, old + (seen - old) * 0.05);
+  }
+
+  // Machines
+
+  machine(
+    id: string,
+    type: string,
+    zone: string,
+    spot: boolean,
+    ageS: number,
+    now: number,
+  ): Machine {
+    let m = this.machines.get(id);
+    if (!m) {
+      m = new Machine(
+        id,
+        type,
+        this.types.get(type) ?? null,
+        zone,
+        spot,
+        now - Math.max(0, ageS) * 1000,
+        now,
+      );
+      this.machines.set(id, m);
+    }
+    return m;
+  }
+
+  /** A machine of the durable roster, which an earlier leader may have given tasks. */
+  inheritMachine(id: string, type: string, zone: string, spot: boolean, now: number): void {
+    const m = this.machine(id, type, zone, spot, 0, now);
+    m.rostered = true;
+    m.inherited = true;
+    m.lastReport = now;
+    m.upAt = now;
+  }
+
+  get inheritedLeft(): number {
+    let n = 0;
+    for (const m of this.machines.values()) if (m.inherited) n++;
+    return n;
+  }
+
+  /** Proof that the machine and all on it are gone. */
+  machineGone(id: string, why: string): void {
+    const m = this.machines.get(id);
+    this.tombstones.add(id);
+    if (this.tombstones.size > TOMBSTONES)
+      for (const old of this.tombstones) {
+        this.tombstones.delete(old);
+        break;
+      }
+    if (!m) return;
+    const lost = this.releaseAll(m);
+    this.machines.delete(id);
+    this.strayTasks.delete(id);
+    this.rosterPuts.delete(m);
+    if (m.rostered || m.rostering) this.rosterDeletes.add(id);
+    this.stirred = true;
+    this.note('machine gone', { machine: id, why, drain: m.drain, lostTasks: lost });
+  }
+
+  drain(m: Machine, why: Drain): void {
+    if (m.drain === why) return;
+    m.drain = why;
+    // What never left for the machine may go elsewhere.
+    for (const b of [...m.bindings.values()])
+      if (b.state === 'assigned' && b.sentSeq === null && !b.direct) this.release(b, 0);
+    this.note('machine drained', { machine: m.id, why, running: m.bindings.size });
+  }
+
+  private releaseAll(m: Machine): number {
+    let lost = 0;
+    for (const b of [...m.bindings.values()]) {
+      if (b.state !== 'exited') lost++;
+      this.release(b, 0);
+    }
+    return lost;
+  }
+
+  /** The binding has ended without a result. */
+  release(b: Binding, until: number): void {
+    if (b.state !== 'exited') this.use(b, -1);
+    b.machine.remove(b);
+    b.job.unbind(b, until);
+    this.settleIdle(b.machine, b.boundAt);
+    this.stirred = true;
+  }
+
+  private settleIdle(m: Machine, now: number): void {
+    if (!m.busy) m.idleSince = Math.max(m.idleSince, now);
+  }
+
+  private use(b: Binding, sign: number): void {
+    const { team, cpus, gpus } = b.job.spec;
+    const u = this.teamUse.get(team) ?? { cpus: 0, gpus: 0 };
+    u.cpus += sign * cpus;
+    u.gpus += sign * gpus;
+    this.teamUse.set(team, u);
+  }
+
+  /** Binds a ready task to a machine; the start leaves with the next answer or command. */
+  assign(job: Job, index: number, m: Machine, now: number): Binding {
+    const b = this.binding(job, index, this.term * ATTEMPTS_PER_TERM + ++this.attempts, m, now);
+    this.use(b, 1);
+    m.add(b);
+    m.touchImage(job.spec);
+    job.bind(b);
+    return b;
+  }
+
+  private binding(job: Job, index: number, attempt: number, m: Machine, now: number): Binding {
+    return {
+      job,
+      index,
+      attempt,
+      machine: m,
+      state: 'assigned',
+      sentSeq: null,
+      direct: false,
+      boundAt: now,
+      runningSince: null,
+      stop: null,
+      cause: null,
+      settled: false,
+    };
+  }
+
+  /**
+   * What unconfirmed machines may hold beyond what is known: it counts against
+   * every team's limit until it is cleared up.
+   */
+  doubt(): Use {
+    const d = { cpus: 0, gpus: 0 };
+    for (const m of this.machines.values()) {
+      if (!m.inherited && !m.strays) continue;
+      d.cpus += (m.type?.cpus ?? 0) - m.cpus;
+      d.gpus += (m.type?.gpus ?? 0) - m.gpus;
+    }
+    return d;
+  }
+
+  // Reports
+
+  /**
+   * Takes a report. `beat` tells a worker's own report, of which one is in
+   * flight at a time, from the report in a command's answer. False: it is
+   * older than what is known.
+   */
+  report(r: MachineReport, beat: boolean, now: number): boolean {
+    if (this.tombstones.has(r.machine)) return false;
+    const m = this.machine(r.machine, r.type, r.zone, r.spot, 0, now);
+    if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return false;
+    if (r.session > m.session) {
+      if (m.session > 0) {
+        const lost = this.releaseAll(m);
+        this.note('new session', { machine: m.id, session: r.session, lostTasks: lost });
+      }
+      m.session = r.session;
+      m.confirmed = false;
+    }
+    m.seq = r.seq;
+    m.address = r.address;
+    m.knownAt = now;
+    m.lastReport = now;
+    if (m.upAt === null) {
+      m.upAt = now;
+      m.idleSince = now;
+    }
+    if (!m.rostered && !m.rostering) this.rosterPuts.add(m);
+    if (m.drain === 'silent' || m.drain === 'no boot') m.drain = null;
+    if (r.noticeS !== null) {
+      if (m.noticeUntil === null) this.note('spot notice', { machine: m.id, seconds: r.noticeS });
+      m.noticeUntil = now + r.noticeS * 1000;
+      this.drain(m, 'notice');
+    }
+    // An older token: commands of an earlier leader may still be executed, so the list proves nothing.
+    if (r.token !== this.term) return true;
+    if (!m.confirmed) {
+      m.confirmed = true;
+      m.inherited = false;
+      this.stirred = true;
+    }
+    this.reconcile(m, r, beat, now);
+    return true;
+  }
+
+  private reconcile(m: Machine, r: MachineReport, beat: boolean, now: number): void {
+    const listed = new Set<string>();
+    const strays: TaskReport[] = [];
+    for (const t of r.tasks) {
+      const key = bindingKey(t.job, t.index, t.attempt);
+      listed.add(key);
+      let b = m.bindings.get(key);
+      if (!b) {
+        const job = this.jobs.get(t.job);
+        if (!job || t.index >= job.spec.tasks) {
+          strays.push(t);
+          continue;
+        }
+        b = this.found(job, t, m, now);
+      }
+      if (t.state === 'exited') {
+        if (b.state !== 'exited') this.exit(b, t, now);
+        continue;
+      }
+      if (t.state === 'running' && b.runningSince === null) {
+        b.runningSince = now;
+        m.touchImage(b.job.spec);
+      }
+      b.state = t.state;
+    }
+    m.strays = strays.some((t) => t.state !== 'exited');
+    if (strays.length > 0) this.strayTasks.set(m.id, strays);
+    else this.strayTasks.delete(m.id);
+    for (const [key, b] of m.bindings) {
+      if (listed.has(key)) continue;
+      if (b.state === 'exited') m.remove(b);
+      else if (b.state !== 'assigned') this.release(b, 0);
+      // The answer that carried the start was dropped: the worker sends one report at a time and drops late answers.
+      else if (beat && b.sentSeq !== null && r.seq > b.sentSeq && !b.direct) this.release(b, 0);
+    }
+    if (!m.busy && m.bindings.size === 0) this.settleIdle(m, now - 1);
+  }
+
+  /** A task that an earlier leader started, or that was taken for lost. */
+  private found(job: Job, t: TaskReport, m: Machine, now: number): Binding {
+    const b = this.binding(job, t.index, t.attempt, m, now);
+    // For an exited task this is balanced by the exit that follows at once.
+    this.use(b, 1);
+    m.add(b);
+    if (t.state === 'exited') return b;
+    const other = job.bound.get(t.index);
+    if (other && other.state === 'assigned' && other.sentSeq === null && !other.direct)
+      this.release(other, 0);
+    if (job.isDone(t.index) || job.bound.has(t.index)) b.stop = { graceS: 0, since: now };
+    else job.bind(b);
+    return b;
+  }
+
+  private exit(b: Binding, t: TaskReport, now: number): void {
+    const { job, machine: m } = b;
+    this.use(b, -1);
+    m.exited(b);
+    b.cause = t.cause;
+    b.settled = true;
+    this.stirred = true;
+    if (!m.busy) m.idleSince = now;
+    switch (t.cause) {
+      case 'done':
+        this.done(b, now);
+        return;
+      case 'error':
+        this.failed(b, now);
+        return;
+      case 'no_room':
+        m.refusedUntil = now + this.timing.reportMs;
+        job.unbind(b, 0);
+        return;
+      case 'unknown':
+        job.unbind(b, now + this.timing.reportMs);
+        return;
+      default:
+        job.unbind(b, 0);
+    }
+  }
+
+  private done(b: Binding, now: number): void {
+    const { job, machine: m } = b;
+    this.learn(b, now);
+    job.failedOn.clear();
+    job.failures = 0;
+    job.succeeded = true;
+    m.failedJobs.clear();
+    const other = job.bound.get(b.index);
+    const first = job.finish(b.index);
+    job.unbind(b, 0);
+    if (other && other !== b) other.stop = { graceS: 0, since: now };
+    if (!first || job.over) return;
+    b.settled = false;
+    const chunk = Math.floor(b.index / this.tasksPerChunk);
+    const waiting = job.dirty.get(chunk);
+    if (waiting) waiting.push(b);
+    else job.dirty.set(chunk, [b]);
+  }
+
+  /** Tells a sick machine, on which several jobs fail, from a faulty job, which fails on several machines. */
+  private failed(b: Binding, now: number): void {
+    const { job, machine: m } = b;
+    const { reportMs, workerLeaseMs } = this.timing;
+    job.failures++;
+    job.failedOn.add(m.id);
+    const faulty = !job.succeeded && job.failedOn.size >= this.policy.faultyMachines;
+    if (faulty) {
+      for (const other of this.machines.values()) other.failedJobs.delete(job.spec.id);
+      const steps = Math.min(6, job.failedOn.size - this.policy.faultyMachines);
+      job.heldUntil = now + Math.min(workerLeaseMs * 1.5, reportMs * 2 ** steps);
+      if (job.failures % 8 === 3)
+        this.note('job fails everywhere, held back', {
+          job: job.spec.id,
+          machines: job.failedOn.size,
+        });
+    } else {
+      m.failedJobs.set(job.spec.id, (m.failedJobs.get(job.spec.id) ?? 0) + 1);
+      let failures = 0;
+      for (const n of m.failedJobs.values()) failures += n;
+      if (
+        m.failedJobs.size >= this.policy.sickJobs ||
+        (failures >= this.policy.sickFailures && job.succeeded)
+      )
+        this.drain(m, 'sick');
+    }
+    job.unbind(b, now + reportMs * 0.5 * Math.min(4, job.failedOn.size));
+  }
+
+  /** The orders for a machine that has just reported, in the order of their execution. */
+  orders(m: Machine): Order[] {
+    const out: Order[] = [];
+    if (!m.confirmed) return out;
+    for (const t of this.strayTasks.get(m.id) ?? []) {
+      const base = { job: t.job, index: t.index, attempt: t.attempt };
+      if (t.state === 'exited') out.push({ op: 'forget', ...base });
+      else out.push({ op: 'stop', ...base, graceS: 0 });
+    }
+    for (const b of m.bindings.values()) {
+      if (out.length >= ORDERS_PER_ANSWER) break;
+      const base = { job: b.job.spec.id, index: b.index, attempt: b.attempt };
+      if (b.state === 'exited') {
+        if (b.settled && !b.direct) out.push({ op: 'forget', ...base });
+      } else if (b.state === 'assigned') {
+        if (b.job.over) continue;
+        out.push({ op: 'start', ...base });
+        b.sentSeq = m.seq;
+      } else if (b.stop && (b.state !== 'saving' || b.stop.graceS === 0)) {
+        out.push({ op: 'stop', ...base, graceS: b.stop.graceS });
+      }
+    }
+    return out;
+  }
+
+  // The cloud's list
+
+  /** A whole list, asked for at `askedAt`. */
+  listed(list: ListedMachine[], askedAt: number, now: number): void {
+    const seen = new Set<string>();
+    for (const l of list) {
+      seen.add(l.id);
+      if (this.tombstones.has(l.id)) continue;
+      if (l.state === 'failed') {
+        if (!this.machines.has(l.id)) this.machine(l.id, l.type, l.zone, l.spot, l.ageS, now);
+        this.machineGone(l.id, 'listed as failed');
+        continue;
+      }
+      if (!this.machines.has(l.id))
+        this.note('unexpected machine adopted', { machine: l.id, type: l.type, zone: l.zone });
+      const m = this.machine(l.id, l.type, l.zone, l.spot, l.ageS, now);
+      m.listed = true;
+      m.knownAt = Math.max(m.knownAt, askedAt);
+      if (l.address) m.address = l.address;
+      if (l.state === 'running' && m.upAt === null) {
+        m.upAt = now;
+        m.lastReport = now;
+        m.idleSince = now;
+      }
+    }
+    for (const m of [...this.machines.values()])
+      if (!seen.has(m.id) && askedAt > m.knownAt + this.timing.listProofMs)
+        this.machineGone(m.id, 'absent from the list');
+  }
+}
+
+export function chunkKey(job: string, chunk: number): string {
+  return `bits/${job}/${String(chunk).padStart(4, '0')}`;
+}
--- /dev/null
+++ b/src/core/machine.ts
@@ -0,0 +1,149 @@
+import type { Job } from './job.js';
+import {
+  EPSILON,
+  type ExitCause,
+  type JobSpec,
+  type MachineType,
+  type TaskState,
+} from './model.js';
+
+export interface Binding {
+  job: Job;
+  index: number;
+  attempt: number;
+  machine: Machine;
+  state: 'assigned' | TaskState;
+  /** The report in whose answer the start went out; null while it has not left. */
+  sentSeq: number | null;
+  /** A direct start may still be on its way: neither absence nor an exit proves that it won't arrive. */
+  direct: boolean;
+  boundAt: number;
+  runningSince: number | null;
+  stop: { graceS: number; since: number } | null;
+  cause: ExitCause | null;
+  /** What its exit reported is durable, or needs no keeping: the worker may forget it. */
+  settled: boolean;
+}
+
+export type Drain = 'notice' | 'sick' | 'idle' | 'no boot' | 'silent' | 'failed' | 'surplus';
+
+export function bindingKey(job: string, index: number, attempt: number): string {
+  return `${job}/${index}/${attempt}`;
+}
+
+/** A machine as the leader knows it. */
+export class Machine {
+  readonly bindings = new Map<string, Binding>();
+  readonly images = new Map<string, number>();
+  /** Jobs whose tasks failed here since the last success here. */
+  readonly failedJobs = new Map<string, number>();
+  address = '';
+  session = 0;
+  seq = -1;
+  /** A report of the current session carried our own token: its list of tasks is whole. */
+  confirmed = false;
+  /** Written to the durable roster. */
+  rostered = false;
+  rostering = false;
+  /** Stands in the roster of an earlier leader and is neither confirmed nor gone. */
+  inherited = false;
+  /** It lists tasks of jobs that are not known: what they use is in doubt. */
+  strays = false;
+  /** Last time at which the machine was known to exist. */
+  knownAt: number;
+  lastReport = 0;
+  upAt: number | null = null;
+  listed = false;
+  noticeUntil: number | null = null;
+  drain: Drain | null = null;
+  idleSince: number;
+  refusedUntil = 0;
+  cpus = 0;
+  gpus = 0;
+  memoryGb = 0;
+
+  constructor(
+    readonly id: string,
+    readonly typeName: string,
+    readonly type: MachineType | null,
+    readonly zone: string,
+    readonly spot: boolean,
+    /** When the rental was asked for, on our clock. */
+    readonly rentedAt: number,
+    now: number,
+  ) {
+    this.knownAt = now;
+    this.idleSince = now;
+  }
+
+  get rate(): number {
+    if (!this.type) return 0;
+    return this.spot ? this.type.spotPrice : this.type.price;
+  }
+
+  /** How many tasks like this one the free room takes. */
+  room(spec: JobSpec): number {
+    const t = this.type;
+    if (!t) return 0;
+    return fits(t.cpus - this.cpus, t.gpus - this.gpus, t.memoryGb - this.memoryGb, spec);
+  }
+
+  get fill(): number {
+    const t = this.type;
+    if (!t) return 0;
+    return Math.max(t.cpus > 0 ? this.cpus / t.cpus : 0, this.memoryGb / Math.max(1, t.memoryGb));
+  }
+
+  add(b: Binding): void {
+    this.bindings.set(bindingKey(b.job.spec.id, b.index, b.attempt), b);
+    if (b.state !== 'exited') this.use(b.job.spec, 1);
+  }
+
+  remove(b: Binding): void {
+    if (this.bindings.delete(bindingKey(b.job.spec.id, b.index, b.attempt)) && b.state !== 'exited')
+      this.use(b.job.spec, -1);
+  }
+
+  /** The task holds no resources any more. */
+  exited(b: Binding): void {
+    if (b.state === 'exited') return;
+    b.state = 'exited';
+    this.use(b.job.spec, -1);
+  }
+
+  get busy(): boolean {
+    return this.cpus > EPSILON || this.memoryGb > EPSILON || this.gpus > EPSILON;
+  }
+
+  /** Notes that the image is here; the least recently used ones make room, as on the machine itself. */
+  touchImage(spec: JobSpec): void {
+    this.images.delete(spec.image);
+    this.images.set(spec.image, spec.imageGb);
+    let total = 0;
+    for (const gb of this.images.values()) total += gb;
+    for (const [image, gb] of this.images) {
+      if (total <= (this.type?.cacheGb ?? 0) || image === spec.image) break;
+      this.images.delete(image);
+      total -= gb;
+    }
+  }
+
+  private use(spec: JobSpec, sign: number): void {
+    this.cpus += sign * spec.cpus;
+    this.gpus += sign * spec.gpus;
+    this.memoryGb += sign * spec.memoryGb;
+  }
+}
+
+/** How many tasks of the shape fit the room, counted at most as far as any array goes. */
+export function fits(cpus: number, gpus: number, memoryGb: number, spec: JobSpec): number {
+  let n = 100_000;
+  if (spec.cpus > 0) n = Math.min(n, Math.floor((cpus + EPSILON) / spec.cpus));
+  if (spec.gpus > 0) n = Math.min(n, Math.floor((gpus + EPSILON) / spec.gpus));
+  if (spec.memoryGb > 0) n = Math.min(n, Math.floor((memoryGb + EPSILON) / spec.memoryGb));
+  return Math.max(0, n);
+}
+
+export function fitsType(type: MachineType, spec: JobSpec): number {
+  return fits(type.cpus, type.gpus, type.memoryGb, spec);
+}
--- /dev/null
+++ b/src/core/placement.ts
@@ -0,0 +1,303 @@
+import type { Cluster, Use } from './cluster.js';
+import type { Job } from './job.js';
+import type { Binding, Machine } from './machine.js';
+import { EPSILON, type JobSpec } from './model.js';
+
+/** Ready tasks of like image and request, in order of arrival. */
+interface Batch {
+  spec: JobSpec;
+  guaranteed: boolean;
+  jobs: Job[];
+  count: number;
+}
+
+/**
+ * Ready: accepted, not over, not held back. Jobs that wait for others would
+ * be kept out here. A task of an inherited job that shows on no confirmed
+ * machine may run on an unconfirmed one, so it waits for the last of them.
+ */
+export function isReady(job: Job, inheritedLeft: boolean, now: number): boolean {
+  if (job.delayed > 0) job.wake(now);
+  if (job.ready === 0 || job.over || job.heldUntil > now) return false;
+  return !(job.inherited && inheritedLeft);
+}
+
+/** Marks the jobs that fit their team's guarantee together with the team's earlier unfinished jobs. */
+function markGuaranteed(cluster: Cluster, byArrival: Job[]): void {
+  const sums = new Map<string, Use>();
+  for (const job of byArrival) {
+    const { team, cpus, gpus, tasks } = job.spec;
+    const sum = sums.get(team) ?? { cpus: 0, gpus: 0 };
+    sum.cpus += cpus * tasks;
+    sum.gpus += gpus * tasks;
+    sums.set(team, sum);
+    const t = cluster.teams.get(team);
+    job.guaranteed =
+      t !== undefined && sum.cpus <= t.cpus + EPSILON && sum.gpus <= t.gpus + EPSILON;
+  }
+}
+
+function likeKey(job: Job): string {
+  const s = job.spec;
+  return `${s.rank}|${job.guaranteed}|${s.team}|${s.image}|${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types}|${s.zone}|${s.spot}|${s.oneZone || s.spread ? s.id : ''}`;
+}
+
+/** One pooled ready list: rank first, then work within its team's guarantee, then arrival. */
+export function readyBatches(cluster: Cluster, now: number): Batch[] {
+  const inheritedLeft = cluster.inheritedLeft > 0;
+  const byArrival = [...cluster.jobs.values()].sort((a, b) => a.version - b.version);
+  markGuaranteed(cluster, byArrival);
+  const batches = new Map<string, Batch>();
+  for (const job of byArrival) {
+    if (!isReady(job, inheritedLeft, now)) continue;
+    const key = likeKey(job);
+    const batch = batches.get(key);
+    if (batch) {
+      batch.jobs.push(job);
+      batch.count += job.ready;
+    } else {
+      batches.set(key, {
+        spec: job.spec,
+        guaranteed: job.guaranteed,
+        jobs: [job],
+        count: job.ready,
+      });
+    }
+  }
+  // The sort is stable: within a rank and a guarantee, arrival stays.
+  return [...batches.values()].sort(
+    (a, b) => a.spec.rank - b.spec.rank || Number(b.guaranteed) - Number(a.guaranteed),
+  );
+}
+
+/** Takes new tasks at all. */
+export function open(cluster: Cluster, m: Machine, now: number): boolean {
+  return (
+    m.confirmed &&
+    m.rostered &&
+    m.type !== null &&
+    m.drain === null &&
+    !m.strays &&
+    m.refusedUntil <= now &&
+    now - m.lastReport < cluster.timing.reportMs * 2
+  );
+}
+
+export function allowed(m: Machine, spec: JobSpec): boolean {
+  return (
+    (spec.types === null || spec.types.includes(m.typeName)) &&
+    (spec.zone === null || spec.zone === m.zone) &&
+    (spec.spot || !m.spot)
+  );
+}
+
+/** How many more of the job's tasks may be put in the zone beside those on machines now. */
+function zoneRoom(job: Job, zone: string): number {
+  const { oneZone, spread, tasks } = job.spec;
+  if (oneZone) for (const [z, n] of job.zones) if (n > 0 && z !== zone) return 0;
+  if (!spread) return tasks;
+  return Math.ceil(tasks / 2) - (job.zones.get(zone) ?? 0);
+}
+
+/** How many more tasks of the shape the team's limit allows, doubt counted in. */
+function teamRoom(cluster: Cluster, spec: JobSpec, doubt: Use): number {
+  const team = cluster.teams.get(spec.team);
+  if (!team) return 0;
+  const use = cluster.teamUse.get(spec.team) ?? { cpus: 0, gpus: 0 };
+  let n = 1e9;
+  if (team.cpusMax > 0 && spec.cpus > 0)
+    n = Math.min(n, Math.floor((team.cpusMax - use.cpus - doubt.cpus + EPSILON) / spec.cpus));
+  if (team.gpusMax > 0 && spec.gpus > 0)
+    n = Math.min(n, Math.floor((team.gpusMax - use.gpus - doubt.gpus + EPSILON) / spec.gpus));
+  return Math.max(0, n);
+}
+
+export interface RoundResult {
+  started: Binding[];
+  /** Tasks that found no machine. */
+  unplaced: number;
+}
+
+/**
+ * One round of decisions: batches in order, each to the feasible machine of
+ * the highest score until it is placed or nothing takes it. `limit` bounds the
+ * starts; the caller widens it with the load.
+ */
+export function round(cluster: Cluster, limit: number, now: number): RoundResult {
+  const started: Binding[] = [];
+  const batches = readyBatches(cluster, now);
+  const doubt = cluster.doubt();
+  const openMachines = [...cluster.machines.values()].filter((m) => open(cluster, m, now));
+  let dearest = 0;
+  for (const t of cluster.types.values()) dearest = Math.max(dearest, t.price, t.spotPrice);
+  let unplaced = 0;
+  const promised = new Map<Machine, { cpus: number; gpus: number; memoryGb: number }>();
+  for (const batch of batches) {
+    let left = batch.count;
+    const candidates = openMachines.filter((m) => allowed(m, batch.spec));
+    while (left > 0 && started.length < limit) {
+      const room = teamRoom(cluster, batch.spec, doubt);
+      if (room === 0) break;
+      const m = best(cluster, batch, candidates, left, dearest);
+      if (!m) break;
+      const n = put(cluster, batch, m, Math.min(left, room, limit - started.length), started, now);
+      left -= n;
+      // The zone rules or earlier failures kept every job of the batch off this machine.
+      if (n === 0) candidates.splice(candidates.indexOf(m), 1);
+    }
+    unplaced += left;
+    if (left > 0 && started.length < limit && teamRoom(cluster, batch.spec, doubt) > 0)
+      preempt(cluster, batch, left, openMachines, promised, now);
+  }
+  return { started, unplaced };
+}
+
+function best(
+  cluster: Cluster,
+  batch: Batch,
+  candidates: Machine[],
+  left: number,
+  dearest: number,
+): Machine | null {
+  const { throughput, cost, locality } = cluster.policy.weights;
+  let found: Machine | null = null;
+  let top = Number.NEGATIVE_INFINITY;
+  for (const m of candidates) {
+    const room = m.room(batch.spec);
+    if (room === 0) continue;
+    const score =
+      (throughput * Math.min(room, left)) / left -
+      (dearest > 0 ? (cost * m.rate) / dearest : 0) +
+      (m.images.has(batch.spec.image) ? locality : 0);
+    if (score > top + EPSILON || (score > top - EPSILON && found && m.fill > found.fill)) {
+      top = Math.max(top, score);
+      found = m;
+    }
+  }
+  return found;
+}
+
+/** Starts up to `want` tasks of the batch on the machine, by arrival of their jobs. */
+function put(
+  cluster: Cluster,
+  batch: Batch,
+  m: Machine,
+  want: number,
+  started: Binding[],
+  now: number,
+): number {
+  let n = 0;
+  for (const job of batch.jobs) {
+    // A job that failed here goes elsewhere while there is an elsewhere.
+    if (job.failedOn.has(m.id) && job.failedOn.size < cluster.policy.faultyMachines) continue;
+    let room = Math.min(want - n, m.room(job.spec), zoneRoom(job, m.zone));
+    while (room > 0 && job.ready > 0) {
+      const index = job.next();
+      if (index === null) break;
+      started.push(cluster.assign(job, index, m, now));
+      n++;
+      room--;
+    }
+    if (n >= want) break;
+  }
+  return n;
+}
+
+/** How long a batch waits for room before others are stopped for it: a part of what its class may wait. */
+function patienceMs(cluster: Cluster, spec: JobSpec): number {
+  const aim = cluster.aims.get(spec.jobClass)?.waitS;
+  return aim !== undefined && aim !== null ? aim * 1000 * 0.2 : cluster.timing.reportMs * 2;
+}
+
+/**
+ * Makes room for a batch that found none: work of lower rank is stopped, or,
+ * for a team within its guarantee, what another team runs beyond its own.
+ * Room that is already being made is counted first.
+ */
+function preempt(
+  cluster: Cluster,
+  batch: Batch,
+  left: number,
+  machines: Machine[],
+  promised: Map<Machine, { cpus: number; gpus: number; memoryGb: number }>,
+  now: number,
+): void {
+  const { spec } = batch;
+  const wallAge = batch.jobs[0] ? cluster.ageMs(batch.jobs[0], now) : 0;
+  if (wallAge < patienceMs(cluster, spec)) return;
+  let need = left;
+  for (const m of machines) {
+    if (need <= 0) return;
+    if (!allowed(m, spec) || !m.type) continue;
+    const p = promised.get(m) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+    promised.set(m, p);
+    const room = () => ({
+      cpus: (m.type?.cpus ?? 0) - m.cpus - p.cpus,
+      gpus: (m.type?.gpus ?? 0) - m.gpus - p.gpus,
+      memoryGb: (m.type?.memoryGb ?? 0) - m.memoryGb - p.memoryGb,
+    });
+    const free = room();
+    const victims: { b: Binding; loss: number }[] = [];
+    for (const b of m.bindings.values()) {
+      if (b.state === 'exited' || b.state === 'assigned') continue;
+      if (b.stop) {
+        free.cpus += b.job.spec.cpus;
+        free.gpus += b.job.spec.gpus;
+        free.memoryGb += b.job.spec.memoryGb;
+      } else if (mayStop(cluster, batch, b)) victims.push({ b, loss: lossS(b, now) });
+    }
+    victims.sort((a, b) => a.loss - b.loss);
+    for (;;) {
+      while (
+        need > 0 &&
+        free.cpus + EPSILON >= spec.cpus &&
+        free.gpus + EPSILON >= spec.gpus &&
+        free.memoryGb + EPSILON >= spec.memoryGb
+      ) {
+        need--;
+        free.cpus -= spec.cpus;
+        free.gpus -= spec.gpus;
+        free.memoryGb -= spec.memoryGb;
+        p.cpus += spec.cpus;
+        p.gpus += spec.gpus;
+        p.memoryGb += spec.memoryGb;
+      }
+      const victim = victims.shift();
+      if (need <= 0 || !victim) break;
+      const s = victim.b.job.spec;
+      victim.b.stop = { graceS: s.checkpointS > 0 ? s.saveS : 0, since: now };
+      free.cpus += s.cpus;
+      free.gpus += s.gpus;
+      free.memoryGb += s.memoryGb;
+      cluster.note('preempted', {
+        job: s.id,
+        task: victim.b.index,
+        machine: m.id,
+        for: batch.jobs[0]?.spec.id,
+        lossS: Math.round(victim.loss),
+      });
+    }
+  }
+}
+
+function mayStop(cluster: Cluster, batch: Batch, b: Binding): boolean {
+  const { spec } = b.job;
+  if (spec.rank > batch.spec.rank) return true;
+  if (!batch.guaranteed || spec.team === batch.spec.team || b.job.guaranteed) return false;
+  const team = cluster.teams.get(spec.team);
+  const use = cluster.teamUse.get(spec.team);
+  return (
+    team !== undefined &&
+    use !== undefined &&
+    (use.cpus - spec.cpus >= team.cpus - EPSILON ||
+      (team.gpus > 0 && use.gpus - spec.gpus >= team.gpus - EPSILON))
+  );
+}
+
+/** Seconds of work that stopping the task now would lose. */
+export function lossS(b: Binding, now: number): number {
+  if (b.runningSince === null) return 0;
+  const ran = (now - b.runningSince) / 1000;
+  const { checkpointS, saveS } = b.job.spec;
+  return checkpointS > 0 ? saveS : ran;
+}
--- /dev/null
+++ b/src/duties/clock.ts
@@ -0,0 +1,30 @@
+/** Time as the duties see it; the tests put a fake one in its place. */
+export interface Clock {
+  /** Steady milliseconds. */
+  now(): number;
+  /** Time of day in milliseconds. */
+  wall(): number;
+  /** Rejects when the signal ends the wait. */
+  sleep(ms: number, signal?: AbortSignal): Promise<void>;
+}
+
+export class Stopped extends Error {}
+
+export const systemClock: Clock = {
+  now: () => performance.now(),
+  wall: () => Date.now(),
+  sleep(ms, signal) {
+    return new Promise((resolve, reject) => {
+      if (signal?.aborted) return reject(new Stopped());
+      const stop = () => {
+        clearTimeout(timer);
+        reject(new Stopped());
+      };
+      const timer = setTimeout(() => {
+        signal?.removeEventListener('abort', stop);
+        resolve();
+      }, ms);
+      signal?.addEventListener('abort', stop, { once: true });
+    });
+  },
+};
--- /dev/null
+++ b/src/duties/leader.ts
@@ -0,0 +1,429 @@
+import { Priority } from '../clients/budget.js';
+import type { CloudClient } from '../clients/cloud.js';
+import { RETURN_LIMIT } from '../clients/cloud.js';
+import { Refused } from '../clients/state.js';
+import type { Policy } from '../config/policy.js';
+import { type ClassAim, Cluster, type CorePolicy } from '../core/cluster.js';
+import { flushUnits, type Unit } from '../core/flush.js';
+import type { Machine } from '../core/machine.js';
+import type { ListedMachine, MachineReport, Order } from '../core/model.js';
+import { round } from '../core/placement.js';
+import { Renting, type RentPlan } from '../core/renting.js';
+import type { Entry, StoreEvent } from '../protocol/store.js';
+import { isObject } from '../protocol/wire.js';
+import { Stopped } from './clock.js';
+import type { Context, LiveRecord } from './context.js';
+import { LEADER_KEY, type Term } from './leadership.js';
+import { readTypes, storeTypes } from './types.js';
+
+const LIVE = 'live/';
+const BITS = 'bits/';
+const ROSTER = 'roster/';
+/** A transaction's own limit in the protocol, with room for its frame. */
+const TRANSACTION_BYTES = 56 * 1024;
+
+export function corePolicy(p: Policy): CorePolicy {
+  return {
+    weights: {
+      throughput: p['score.throughput'],
+      cost: p['score.cost'],
+      locality: p['score.locality'],
+    },
+    headroom: p['rent.headroom'],
+    drainBoots: p['rent.drain-boots'],
+    idleBoots: p['rent.idle-boots'],
+    bootPatience: p['rent.boot-patience'],
+    backoffBoots: p['rent.backoff-boots'],
+    sickJobs: p['sick.jobs'],
+    sickFailures: p['sick.failures'],
+    faultyMachines: p['job.faulty-machines'],
+    machineStarts: p['round.machine-starts'],
+  };
+}
+
+type Page = Awaited<ReturnType<Context['state']['listPage']>>;
+type MachinePage = Awaited<ReturnType<CloudClient['list']>>;
+
+/** The duties of one term: takeover, watch, rounds, durable progress, cloud. */
+export class Leader {
+  readonly cluster: Cluster;
+  private readonly renting: Renting;
+  /** The state service has been read: reports are taken into the picture. */
+  ready = false;
+  private hires = 0;
+  private lastRound = 0;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly cloud: CloudClient,
+    readonly term: Term,
+    private readonly policy: CorePolicy,
+  ) {
+    const { workers, state, objectives } = ctx.platform.settings;
+    const aims = new Map<string, ClassAim>();
+    for (const o of objectives ?? []) {
+      if (o.kind !== 'wait' || !o.class) continue;
+      const old = aims.get(o.class)?.waitS ?? Number.POSITIVE_INFINITY;
+      aims.set(o.class, { waitS: Math.min(old, o.within_s ?? old) });
+    }
+    this.cluster = new Cluster(
+      term.term,
+      ctx.teams,
+      {
+        reportMs: workers.report_s * 1000,
+        workerLeaseMs: ctx.timing.workerLeaseMs,
+        listProofMs: ctx.timing.listProofMs,
+        silentMs: ctx.timing.silentMs,
+      },
+      policy,
+      aims,
+      // Half the value limit: base64 adds a third, and the frame a little.
+      Math.max(1, Math.floor(state.value_kb * 1024 * 0.5)) * 8,
+      (message, fields) => ctx.log.info({ term: term.term, ...fields }, message),
+    );
+    this.renting = new Renting(this.cluster);
+  }
+
+  async run(): Promise<void> {
+    const { ctx, term } = this;
+    const began = ctx.clock.now();
+    const revision = await this.load();
+    this.ready = true;
+    ctx.log.info(
+      {
+        term: term.term,
+        jobs: this.cluster.jobs.size,
+        machines: this.cluster.machines.size,
+        ms: Math.round(ctx.clock.now() - began),
+      },
+      'takeover read',
+    );
+    await Promise.all([
+      this.duty('watch', (s) => this.watch(revision, s)),
+      this.duty('rounds', (s) => this.rounds(s)),
+      this.duty('flush', (s) => this.flush(s)),
+      this.duty('list', (s) => this.listMachines(s)),
+      this.duty('renting', (s) => this.rent(s)),
+      this.duty('types', (s) => this.refreshTypes(s)),
+    ]);
+  }
+
+  /** Runs one duty until the term ends; an unexpected fault in one ends the term. */
+  private async duty(name: string, body: (signal: AbortSignal) => Promise<void>): Promise<void> {
+    try {
+      await body(this.term.signal);
+    } catch (error) {
+      if (this.term.signal.aborted || error instanceof Stopped) return;
+      this.ctx.log.error({ duty: name, error: String((error as Error).stack) }, 'duty failed');
+      this.term.resign(`duty ${name} failed`);
+    }
+  }
+
+  /** Repeats a call of a duty until it is answered or the term ends. */
+  private async insist<T>(call: (signal: AbortSignal) => Promise<T>): Promise<T> {
+    for (let tries = 0; ; tries++) {
+      try {
+        return await call(this.term.signal);
+      } catch (error) {
+        if (this.term.signal.aborted) throw new Stopped();
+        const wait = this.ctx.timing.renewMs * Math.min(2, 0.15 * 2 ** tries);
+        const hint = error instanceof Refused ? Math.min(error.retryMs, wait) : wait;
+        this.ctx.log.debug({ error: String((error as Error).message) }, 'call repeated');
+        await this.ctx.clock.sleep(hint * (0.7 + Math.random() * 0.6), this.term.signal);
+      }
+    }
+  }
+
+  private async readAll(prefix: string): Promise<{ entries: Entry[]; revision: number }> {
+    const entries: Entry[] = [];
+    let after: string | null = null;
+    let revision: number | null = null;
+    for (;;) {
+      const from: string | null = after;
+      const page: Page = await this.insist((s) => this.ctx.state.listPage(prefix, from, s));
+      // Events since the first page are applied again over the later ones.
+      revision ??= page.revision;
+      entries.push(...page.entries);
+      const last = page.entries.at(-1);
+      if (!page.more || !last) return { entries, revision };
+      after = last.key;
+    }
+  }
+
+  private async load(): Promise<number> {
+    const { ctx, cluster } = this;
+    const now = ctx.clock.now();
+    cluster.wallOffset = ctx.clock.wall() - now;
+    if (!ctx.types) ctx.types = await this.insist((s) => readTypes(ctx, this.cloud, s));
+    cluster.setTypes(ctx.types ?? []);
+    const roster = await this.readAll(ROSTER);
+    for (const e of roster.entries) {
+      const v = isObject(e.value) ? e.value : {};
+      cluster.inheritMachine(
+        e.key.slice(ROSTER.length),
+        String(v.type),
+        String(v.zone),
+        v.spot === true,
+        ctx.clock.now(),
+      );
+    }
+    const live = await this.readAll(LIVE);
+    for (const e of live.entries) this.addLive(e.key, e.value, e.version);
+    const bits = await this.readAll(BITS);
+    for (const e of bits.entries) {
+      const [, id = '', chunk = ''] = e.key.split('/');
+      const job = cluster.jobs.get(id);
+      if (job && typeof e.value === 'string')
+        job.loadChunk(Number(chunk), cluster.tasksPerChunk, Buffer.from(e.value, 'base64'));
+      else cluster.cleanup.add(e.key);
+    }
+    return live.revision;
+  }
+
+  private addLive(key: string, value: unknown, version: number): void {
+    const record = value as LiveRecord;
+    if (!isObject(value) || !isObject(record.spec)) {
+      this.ctx.log.error({ key }, 'live job is not readable');
+      return;
+    }
+    const inherited = version <= this.term.version;
+    const job = this.cluster.addJob(record.spec, version, record.at, inherited);
+    if (job) this.renting.arrived(record.spec);
+  }
+
+  private async watch(revision: number, signal: AbortSignal): Promise<void> {
+    const { ctx } = this;
+    let after = revision;
+    while (!signal.aborted) {
+      const askedAt = ctx.clock.now();
+      const from = after;
+      const got = await this.insist((s) => ctx.state.watch(LIVE, from, ctx.timing.watchMs, s));
+      this.term.informed(askedAt);
+      if (got) {
+        for (const e of got.events) this.apply(e);
+        after = got.revision;
+        continue;
+      }
+      // Too old a revision: what is no longer listed has ended.
+      const live = await this.readAll(LIVE);
+      const known = new Set(live.entries.map((e) => e.key.slice(LIVE.length)));
+      for (const id of [...this.cluster.jobs.keys()]) if (!known.has(id)) this.cluster.endJob(id);
+      for (const e of live.entries) this.addLive(e.key, e.value, e.version);
+      after = live.revision;
+    }
+  }
+
+  private apply(e: StoreEvent): void {
+    if (e.op === 'put') this.addLive(e.key, e.value, e.version);
+    else this.cluster.endJob(e.key.slice(LIVE.length));
+  }
+
+  /** Takes a worker's report and returns the orders that go back with its answer. */
+  report(r: MachineReport): Order[] {
+    if (!this.ready) return [];
+    const { cluster, term, ctx } = this;
+    const now = ctx.clock.now();
+    if (!cluster.report(r, true, now) || !term.proven()) return [];
+    // Room that this report has freed is filled in its own answer.
+    if (cluster.stirred) this.round(now);
+    const m = cluster.machines.get(r.machine);
+    return m ? cluster.orders(m) : [];
+  }
+
+  private round(now: number): boolean {
+    this.cluster.stirred = false;
+    this.lastRound = now;
+    let ready = 0;
+    for (const job of this.cluster.jobs.values()) ready += job.ready;
+    // Under overload a round decides more at once, so that its fixed cost is shared.
+    const limit = Math.max(this.policy.machineStarts, Math.ceil(ready / 8));
+    const result = round(this.cluster, limit, now);
+    return result.started.length >= limit;
+  }
+
+  private async rounds(signal: AbortSignal): Promise<void> {
+    const { ctx, cluster } = this;
+    const restMs = ctx.timing.roundMs * 10;
+    while (!signal.aborted) {
+      await ctx.clock.sleep(ctx.timing.roundMs, signal);
+      const now = ctx.clock.now();
+      // Delays run out without an event: a slow round finds what they free.
+      if (!this.term.proven() || (!cluster.stirred && now - this.lastRound < restMs)) continue;
+      if (this.round(now)) cluster.stirred = true;
+    }
+  }
+
+  private async flush(signal: AbortSignal): Promise<void> {
+    const { ctx, cluster } = this;
+    const { state } = ctx.platform.settings;
+    const tickMs = ctx.timing.flushMs;
+    // A part of the changes is progress; the rest stays for submissions, cancellations and ends.
+    const sparePerTick = (state.write_rps * 0.3 * tickMs) / 1000;
+    let spare = 0;
+    while (!signal.aborted) {
+      await ctx.clock.sleep(tickMs, signal);
+      spare = Math.min(spare + sparePerTick, state.write_rps * 0.5);
+      const units = flushUnits(cluster, { spare });
+      let from = 0;
+      while (from < units.length) {
+        const batch: Unit[] = [];
+        let changes = 0;
+        let bytes = 0;
+        for (const u of units.slice(from)) {
+          if (batch.length > 0) {
+            if (changes + u.changes.length > state.txn_ops) break;
+            if (bytes + u.size > TRANSACTION_BYTES) break;
+          }
+          batch.push(u);
+          changes += u.changes.length;
+          bytes += u.size;
+        }
+        from += batch.length;
+        spare = Math.max(0, spare - batch.filter((u) => u.changes.length === 1).length);
+        if (!(await this.write(batch))) {
+          for (const u of units.slice(from)) u.retry();
+          break;
+        }
+      }
+    }
+  }
+
+  /** False: the state service did not take it; the rest waits for the next turn. */
+  private async write(batch: Unit[]): Promise<boolean> {
+    const { term, ctx } = this;
+    try {
+      const result = await ctx.state.transact(
+        [{ key: LEADER_KEY, version: term.version }, ...batch.flatMap((u) => u.conditions)],
+        batch.flatMap((u) => u.changes),
+        Priority.ends,
+        term.signal,
+      );
+      if (result.ok) {
+        for (const u of batch) u.applied();
+        return true;
+      }
+      if (result.failed.includes(LEADER_KEY)) {
+        term.resign('another leader holds the key');
+        return false;
+      }
+      for (const u of batch)
+        if (u.conditions.some((c) => result.failed.includes(c.key))) u.conflict();
+        else u.retry();
+      return true;
+    } catch (error) {
+      for (const u of batch) u.retry();
+      if (!term.signal.aborted)
+        ctx.log.debug({ error: String((error as Error).message) }, 'flush not answered');
+      await ctx.clock.sleep(ctx.timing.flushMs * 3, term.signal);
+      return false;
+    }
+  }
+
+  private async listMachines(signal: AbortSignal): Promise<void> {
+    const { ctx, cluster } = this;
+    while (!signal.aborted) {
+      try {
+        const askedAt = ctx.clock.now();
+        const all: ListedMachine[] = [];
+        let after: string | null = null;
+        for (;;) {
+          const page: MachinePage = await this.cloud.list(after, signal);
+          all.push(...page.machines);
+          const last = page.machines.at(-1);
+          if (!page.more || !last) break;
+          after = last.id;
+        }
+        cluster.listed(all, askedAt, ctx.clock.now());
+      } catch (error) {
+        if (signal.aborted) return;
+        ctx.log.debug({ error: String((error as Error).message) }, 'machine list not answered');
+      }
+      await ctx.clock.sleep(ctx.timing.listMs, signal);
+    }
+  }
+
+  private async rent(signal: AbortSignal): Promise<void> {
+    const { ctx, cluster, renting } = this;
+    // The list comes first: what an earlier leader rented is not rented again.
+    await ctx.clock.sleep(ctx.timing.listMs, signal);
+    while (!signal.aborted) {
+      await ctx.clock.sleep(ctx.timing.rentMs, signal);
+      if (!this.term.proven()) continue;
+      const now = ctx.clock.now();
+      const plans = renting.plan(now);
+      const returns = renting.returns(now).slice(0, RETURN_LIMIT);
+      if (returns.length > 0) await this.giveBack(returns, signal);
+      for (const plan of plans) await this.hire(plan, signal);
+      ctx.log.debug({ jobs: cluster.jobs.size, machines: cluster.machines.size }, 'rent plan');
+    }
+  }
+
+  private async giveBack(
+    returns: { machine: Machine; why: Machine['drain'] }[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { ctx, cluster } = this;
+    for (const r of returns) if (r.why) cluster.drain(r.machine, r.why);
+    try {
+      await this.cloud.giveBack(
+        returns.map((r) => r.machine.id),
+        signal,
+      );
+      for (const r of returns) cluster.machineGone(r.machine.id, `returned: ${r.why}`);
+    } catch (error) {
+      if (signal.aborted) return;
+      ctx.log.debug({ error: String((error as Error).message) }, 'return not answered');
+    }
+  }
+
+  private async hire(plan: RentPlan, signal: AbortSignal): Promise<void> {
+    const { ctx, cluster, renting } = this;
+    // Never used again, by this process or another.
+    const name = `${ctx.incarnation}-${this.term.term}-${++this.hires}`;
+    const request = {
+      name,
+      type: plan.type,
+      zone: plan.zone,
+      spot: plan.spot,
+      count: plan.count,
+    };
+    for (let tries = 0; tries < 3; tries++) {
+      if (!this.term.proven()) return;
+      try {
+        const got = await this.cloud.rent(request, signal);
+        const now = ctx.clock.now();
+        const fields = { term: this.term.term, ...request, ...plan.why };
+        if (got === null) {
+          renting.refused(plan, now);
+          ctx.log.info(fields, 'rent refused: no capacity');
+          return;
+        }
+        if (got.length < plan.count) renting.refused(plan, now);
+        else renting.granted(plan);
+        ctx.log.info({ ...fields, machines: got }, 'rented');
+        for (const id of got) cluster.machine(id, plan.type, plan.zone, plan.spot, 0, now);
+        return;
+      } catch (error) {
+        if (signal.aborted) return;
+        // The same name again: had it been carried out, the answer is the same machines.
+        ctx.log.debug({ name, error: String((error as Error).message) }, 'rent not answered');
+        await ctx.clock.sleep(ctx.timing.rentMs * 0.5, signal);
+      }
+    }
+  }
+
+  private async refreshTypes(signal: AbortSignal): Promise<void> {
+    const { ctx, cluster } = this;
+    while (!signal.aborted) {
+      try {
+        const types = await this.cloud.types(signal);
+        cluster.setTypes(types);
+        await storeTypes(ctx, types, signal);
+      } catch (error) {
+        if (signal.aborted) return;
+        ctx.log.debug({ error: String((error as Error).message) }, 'machine types not answered');
+      }
+      await ctx.clock.sleep(ctx.timing.typesMs, signal);
+    }
+  }
+}
--- /dev/null
+++ b/src/duties/leadership.ts
@@ -0,0 +1,206 @@
+import { Priority } from '../clients/budget.js';
+import { isObject } from '../protocol/wire.js';
+import { Stopped } from './clock.js';
+import type { Context } from './context.js';
+
+export const LEADER_KEY = 'leader';
+export const TERM_KEY = 'term';
+
+interface LeaderRecord {
+  node: string;
+  incarnation: string;
+  term: number;
+  lease: number;
+}
+
+/** One term that this node won. */
+export interface Term {
+  term: number;
+  /** Version of the leader key: every write of this term is conditioned on it. */
+  version: number;
+  signal: AbortSignal;
+  /** Leadership is proven now: a renewal sent within the proven time was answered. */
+  proven(): boolean;
+  /** Reports may still be answered: the workers' leases would run out in time for a cancellation. */
+  mayAnswer(): boolean;
+  /** The watch of jobs was up to date at this time. */
+  informed(at: number): void;
+  resign(why: string): void;
+}
+
+function parseRecord(value: unknown): LeaderRecord | null {
+  if (!isObject(value)) return null;
+  const { node, incarnation, term, lease } = value;
+  if (
+    typeof node !== 'string' ||
+    typeof incarnation !== 'string' ||
+    typeof term !== 'number' ||
+    typeof lease !== 'number'
+  )
+    return null;
+  return { node, incarnation, term, lease };
+}
+
+/**
+ * The routine that stands for election, renews a won lease and follows who
+ * leads. It rests on the state service's fencing; clocks only bound how long
+ * a silent leader goes on.
+ */
+export class Leadership {
+  /** The node that leads as far as is known. */
+  leader: string | null = null;
+  current: Term | null = null;
+  private announcedRefusal = false;
+
+  constructor(
+    private readonly ctx: Context,
+    /** Runs the leader's duties until its signal ends them. */
+    private readonly lead: (term: Term) => Promise<void>,
+  ) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { ctx } = this;
+    while (!signal.aborted) {
+      try {
+        await this.turn(signal);
+        this.announcedRefusal = false;
+      } catch (error) {
+        if (signal.aborted || error instanceof Stopped) return;
+        if (!this.announcedRefusal)
+          ctx.log.info({ error: String((error as Error).message) }, 'state service out of reach');
+        this.announcedRefusal = true;
+        await ctx.clock.sleep(ctx.timing.renewMs * (0.3 + Math.random() * 0.4), signal);
+      }
+    }
+  }
+
+  /** Looks who leads; waits for a change, or stands when nobody does. */
+  private async turn(signal: AbortSignal): Promise<void> {
+    const { ctx } = this;
+    const page = await ctx.state.listPage(LEADER_KEY, null, signal);
+    const entry = page.entries.find((e) => e.key === LEADER_KEY);
+    const record = entry ? parseRecord(entry.value) : null;
+    if (entry && record) {
+      if (record.node === ctx.node && record.incarnation !== ctx.incarnation) {
+        // This node's former process is dead; its lease need not be waited for.
+        await ctx.state.revoke(record.lease, signal);
+        return;
+      }
+      if (record.incarnation !== ctx.incarnation) {
+        this.leader = record.node;
+        await ctx.state.watch(LEADER_KEY, page.revision, ctx.timing.watchMs, signal);
+        return;
+      }
+      // An own key with no term running: a request that was taken for lost went through.
+      await ctx.state.revoke(record.lease, signal);
+      return;
+    }
+    this.leader = null;
+    await this.stand(signal);
+  }
+
+  private async stand(signal: AbortSignal): Promise<void> {
+    const { ctx } = this;
+    const old = await ctx.state.get(TERM_KEY, Priority.lease, signal);
+    const term = (typeof old?.value === 'number' ? old.value : 0) + 1;
+    const grantedAt = ctx.clock.now();
+    const lease = await ctx.state.grant(ctx.timing.leaseMs, signal);
+    const record: LeaderRecord = { node: ctx.node, incarnation: ctx.incarnation, term, lease };
+    let version: number;
+    try {
+      const result = await ctx.state.transact(
+        [
+          { key: LEADER_KEY, version: 0 },
+          { key: TERM_KEY, version: old?.version ?? 0 },
+        ],
+        [
+          { op: 'put', key: LEADER_KEY, value: record, lease },
+          { op: 'put', key: TERM_KEY, value: term },
+        ],
+        Priority.lease,
+        signal,
+      );
+      if (!result.ok) {
+        await ctx.state.revoke(lease, signal);
+        return;
+      }
+      version = result.revision;
+    } catch {
+      // Neither outcome may be believed before it is read back; the next turn does so.
+      await ctx.clock.sleep(ctx.timing.renewMs * 0.2, signal);
+      const entry = await ctx.state.get(LEADER_KEY, Priority.lease, signal);
+      const found = entry ? parseRecord(entry.value) : null;
+      if (!entry || found?.incarnation !== ctx.incarnation || found.term !== term) {
+        await ctx.state.revoke(lease, signal);
+        return;
+      }
+      version = entry.version;
+    }
+    await this.hold(term, version, lease, grantedAt, signal);
+  }
+
+  private async hold(
+    number: number,
+    version: number,
+    lease: number,
+    grantedAt: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { ctx } = this;
+    const { clock, timing } = ctx;
+    const ended = new AbortController();
+    const stop = () => ended.abort();
+    signal.addEventListener('abort', stop, { once: true });
+    let provenAt = grantedAt;
+    let informedAt = grantedAt;
+    const term: Term = {
+      term: number,
+      version,
+      signal: ended.signal,
+      proven: () => !ended.signal.aborted && clock.now() - provenAt < timing.provenMs,
+      mayAnswer: () =>
+        !ended.signal.aborted && clock.now() - Math.min(provenAt, informedAt) < timing.answerMs,
+      informed: (at) => {
+        informedAt = Math.max(informedAt, at);
+      },
+      resign: (why) => {
+        if (ended.signal.aborted) return;
+        ctx.log.info({ term: number, why }, 'leadership ends');
+        ended.abort();
+      },
+    };
+    this.current = term;
+    this.leader = ctx.node;
+    ctx.log.info({ term: number }, 'leadership won');
+    const work = this.lead(term).catch((error) => {
+      if (!ended.signal.aborted) {
+        ctx.log.error({ error: String((error as Error).stack) }, 'leader duty failed');
+        term.resign('duty failed');
+      }
+    });
+    try {
+      while (!ended.signal.aborted) {
+        await clock.sleep(timing.renewMs, ended.signal);
+        const sentAt = clock.now();
+        try {
+          if (await ctx.state.touch(lease, ended.signal)) provenAt = sentAt;
+          else term.resign('lease ended');
+        } catch (error) {
+          if (ended.signal.aborted) break;
+          ctx.log.debug({ error: String((error as Error).message) }, 'renewal not answered');
+          // With the answers to reports over there is nothing left to hold on to.
+          if (!term.mayAnswer()) term.resign('unproven for too long');
+        }
+      }
+    } catch (error) {
+      if (!(error instanceof Stopped)) throw error;
+    } finally {
+      ended.abort();
+      signal.removeEventListener('abort', stop);
+      this.current = null;
+      this.leader = null;
+      await work;
+    }
+    if (!signal.aborted) await ctx.state.revoke(lease, signal).catch(() => {});
+  }
+}
--- /dev/null
+++ b/src/duties/types.ts
@@ -0,0 +1,39 @@
+import { Priority } from '../clients/budget.js';
+import type { CloudClient } from '../clients/cloud.js';
+import type { MachineType } from '../core/model.js';
+import type { Context } from './context.js';
+
+const TYPES_KEY = 'types';
+
+/** Machine types from the state service or, where they were never kept, from the cloud. */
+export async function readTypes(
+  ctx: Context,
+  cloud: CloudClient,
+  signal: AbortSignal,
+): Promise<MachineType[]> {
+  const entry = await ctx.state.get(TYPES_KEY, Priority.ends, signal);
+  if (entry && Array.isArray(entry.value) && entry.value.length > 0)
+    return entry.value as MachineType[];
+  return cloud.types(signal);
+}
+
+/** Keeps the types for nodes that start while the cloud is out of reach. Prices move too often to be worth a write. */
+export async function storeTypes(
+  ctx: Context,
+  types: MachineType[],
+  signal: AbortSignal,
+): Promise<void> {
+  if (types.length === 0) return;
+  const shape = (list: MachineType[] | null) =>
+    JSON.stringify(list?.map(({ price: _p, spotPrice: _s, ...rest }) => rest));
+  const entry = await ctx.state.get(TYPES_KEY, Priority.progress, signal);
+  const kept = entry && Array.isArray(entry.value) ? (entry.value as MachineType[]) : null;
+  if (shape(kept) !== shape(types))
+    await ctx.state.transact(
+      [{ key: TYPES_KEY, version: entry?.version ?? 0 }],
+      [{ op: 'put', key: TYPES_KEY, value: types }],
+      Priority.progress,
+      signal,
+    );
+  ctx.types = types;
+}
--- /dev/null
+++ b/src/http/client.ts
@@ -0,0 +1,210 @@
+import net from 'node:net';
+import { type Message, Parser } from './parser.js';
+
+export interface Address {
+  host: string;
+  port: number;
+}
+
+export interface Answer {
+  status: number;
+  body: unknown;
+}
+
+/** The request was not answered: it may or may not have been carried out. */
+export class NoAnswer extends Error {}
+
+interface Pooled {
+  socket: net.Socket;
+  parser: Parser;
+}
+
+interface Waiter {
+  resolve: (socket: Pooled) => void;
+  reject: (error: Error) => void;
+}
+
+/**
+ * A keep-alive client for one address with a bounded number of connections.
+ * A connection is used by one request at a time and dropped after any fault.
+ */
+export class HttpClient {
+  private idle: Pooled[] = [];
+  private open = 0;
+  private waiting: Waiter[] = [];
+  private closed = false;
+
+  constructor(
+    private readonly address: Address,
+    private readonly options: { connections: number; bodyLimit: number },
+  ) {}
+
+  async request(
+    method: string,
+    target: string,
+    body: unknown,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<Answer> {
+    const payload = body === undefined ? '' : JSON.stringify(body);
+    const text = `${method} ${target} HTTP/1.1\r\nHost: ${this.address.host}:${this.address.port}\r\n${
+      body === undefined
+        ? ''
+        : `Content-Type: application/json\r\nContent-Length: ${Buffer.byteLength(payload)}\r\n`
+    }\r\n${payload}`;
+    const deadline = Date.now() + timeoutMs;
+    for (;;) {
+      const conn = await this.take(deadline, signal);
+      const fresh = conn.socket.bytesRead === 0;
+      const used = conn.socket.bytesRead;
+      try {
+        return await this.exchange(conn, text, Math.max(1, deadline - Date.now()), signal);
+      } catch (error) {
+        // A kept connection that the server had closed meanwhile carried nothing; only safe calls are sent again.
+        const stale = !fresh && conn.socket.bytesRead === used && method === 'GET';
+        if (!stale || signal?.aborted || Date.now() >= deadline) throw error;
+      }
+    }
+  }
+
+  close(): void {
+    this.closed = true;
+    for (const c of this.idle) c.socket.destroy();
+    this.idle = [];
+    for (const w of this.waiting) w.reject(new NoAnswer('closed'));
+    this.waiting = [];
+  }
+
+  private take(deadline: number, signal?: AbortSignal): Promise<Pooled> {
+    for (;;) {
+      const kept = this.idle.pop();
+      if (!kept) break;
+      if (!kept.socket.destroyed) return Promise.resolve(kept);
+    }
+    if (this.closed) return Promise.reject(new NoAnswer('closed'));
+    if (this.open < this.options.connections) return this.connect(deadline, signal);
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(
+        () => {
+          this.waiting = this.waiting.filter((w) => w !== waiter);
+          reject(new NoAnswer('no free connection'));
+        },
+        Math.max(1, deadline - Date.now()),
+      );
+      const waiter: Waiter = {
+        resolve: (c) => {
+          clearTimeout(timer);
+          resolve(c);
+        },
+        reject: (e) => {
+          clearTimeout(timer);
+          reject(e);
+        },
+      };
+      this.waiting.push(waiter);
+    });
+  }
+
+  private connect(deadline: number, signal?: AbortSignal): Promise<Pooled> {
+    this.open++;
+    return new Promise((resolve, reject) => {
+      const socket = net.connect({ ...this.address, noDelay: true });
+      const fail = (why: string) => {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', aborted);
+        socket.destroy();
+        reject(new NoAnswer(why));
+      };
+      const aborted = () => fail('aborted');
+      const timer = setTimeout(() => fail('connect timed out'), Math.max(1, deadline - Date.now()));
+      signal?.addEventListener('abort', aborted, { once: true });
+      socket.once('error', (e) => fail(e.message));
+      socket.once('close', () => {
+        this.open--;
+        this.idle = this.idle.filter((c) => c.socket !== socket);
+        this.serveWaiting();
+      });
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', aborted);
+        socket.removeAllListeners('error');
+        socket.on('error', () => socket.destroy());
+        const parser = new Parser('response', {
+          line: 8 * 1024,
+          headers: 64,
+          body: this.options.bodyLimit,
+        });
+        resolve({ socket, parser });
+      });
+    });
+  }
+
+  /** A slot came free by a close: whoever waits may open a new connection. */
+  private serveWaiting(): void {
+    const waiter = this.waiting[0];
+    if (!waiter || this.closed || this.open >= this.options.connections) return;
+    this.waiting.shift();
+    this.connect(Date.now() + 1000).then(waiter.resolve, waiter.reject);
+  }
+
+  private exchange(
+    conn: Pooled,
+    text: string,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Promise<Answer> {
+    const { socket, parser } = conn;
+    return new Promise((resolve, reject) => {
+      const done = () => {
+        clearTimeout(timer);
+        socket.off('data', onData);
+        socket.off('close', onClose);
+        signal?.removeEventListener('abort', onAbort);
+      };
+      const fail = (why: string) => {
+        done();
+        socket.destroy();
+        reject(new NoAnswer(why));
+      };
+      const finish = (message: Message) => {
+        done();
+        if (message.keepAlive && !this.closed && !parser.busy) this.release(conn);
+        else socket.destroy();
+        let body: unknown;
+        try {
+          body = message.body.length === 0 ? {} : JSON.parse(message.body.toString());
+        } catch {
+          return reject(new NoAnswer('answer is not JSON'));
+        }
+        resolve({ status: message.status, body });
+      };
+      const onData = (data: Buffer) => {
+        try {
+          const message = parser.push(data)[0];
+          if (message) finish(message);
+        } catch (error) {
+          fail((error as Error).message);
+        }
+      };
+      const onClose = () => {
+        const message = parser.close();
+        if (message) finish(message);
+        else fail('connection closed');
+      };
+      const onAbort = () => fail('aborted');
+      const timer = setTimeout(() => fail('timed out'), timeoutMs);
+      signal?.addEventListener('abort', onAbort, { once: true });
+      if (signal?.aborted) return fail('aborted');
+      if (socket.destroyed) return fail('connection closed');
+      socket.on('data', onData);
+      socket.once('close', onClose);
+      socket.write(text);
+    });
+  }
+
+  private release(conn: Pooled): void {
+    const waiter = this.waiting.shift();
+    if (waiter) waiter.resolve(conn);
+    else this.idle.push(conn);
+  }
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,3 @@
+import { main } from './cli/main.js';
+
+void main(process.argv);
--- /dev/null
+++ b/src/protocol/wire.ts
@@ -0,0 +1,267 @@
+/**
+ * The wire's words and shapes, mapped to the field's terms. Words such as
+ * hand, baton or cart appear in this folder only.
+ */
+import {
+  type ExitCause,
+  type JobSpec,
+  type ListedMachine,
+  type MachineReport,
+  type MachineType,
+  type Order,
+  RANKS,
+  type TaskReport,
+  type TaskState,
+} from '../core/model.js';
+
+export const PATHS = {
+  jobs: '/v1/jobs',
+  health: '/healthz',
+  report: '/agent/beat',
+  commands: '/do',
+  types: '/flavors',
+  machines: '/machines',
+  returnMachines: '/machines/return',
+  store: '/store',
+  transaction: '/multi',
+  leases: '/grants',
+  watch: '/follow',
+} as const;
+
+export const WITHDRAW = 'withdraw';
+export const JOB_ID = /^req-[0-9]{1,60}$/;
+const MAX_TASKS = 100_000;
+/** Larger amounts than this are absurd for one task and would drown sums. */
+const MAX_AMOUNT = 1e9;
+
+export class Malformed extends Error {}
+
+type Json = Record<string, unknown>;
+
+export function isObject(value: unknown): value is Json {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function amount(o: Json, field: string, positive = false): number {
+  const v = o[field];
+  if (typeof v !== 'number' || !Number.isFinite(v) || v < 0 || v > MAX_AMOUNT)
+    throw new Malformed(`${field} must be a number of 0 or more`);
+  if (positive && v <= 0) throw new Malformed(`${field} must be above 0`);
+  return v;
+}
+
+function text(o: Json, field: string, max = 200): string {
+  const v = o[field];
+  if (typeof v !== 'string' || v.length === 0 || v.length > max)
+    throw new Malformed(`${field} must be a text of 1 to ${max} characters`);
+  return v;
+}
+
+function flag(o: Json, field: string): boolean {
+  const v = o[field];
+  if (typeof v !== 'boolean') throw new Malformed(`${field} must be true or false`);
+  return v;
+}
+
+function count(o: Json, field: string, min = 0, max = Number.MAX_SAFE_INTEGER): number {
+  const v = o[field];
+  if (typeof v !== 'number' || !Number.isSafeInteger(v) || v < min || v > max)
+    throw new Malformed(`${field} must be an integer from ${min} to ${max}`);
+  return v;
+}
+
+function absent(v: unknown): boolean {
+  return v === null || v === undefined;
+}
+
+/** The id of a submission, before anything else of it is judged. */
+export function submissionId(body: unknown): string {
+  if (!isObject(body)) throw new Malformed('not an object');
+  const id = text(body, 'id');
+  if (!JOB_ID.test(id)) throw new Malformed('id is not in the form req-000412');
+  return id;
+}
+
+export function parseSubmission(body: unknown): JobSpec {
+  if (!isObject(body)) throw new Malformed('not an object');
+  const id = submissionId(body);
+  if (body.form !== 'array') throw new Malformed('form must be array');
+  const rank = RANKS.indexOf(body.rank as (typeof RANKS)[number]);
+  if (rank < 0) throw new Malformed(`rank must be one of ${RANKS.join(', ')}`);
+  let types: string[] | null = null;
+  if (!absent(body.rigs)) {
+    if (!Array.isArray(body.rigs) || body.rigs.some((t) => typeof t !== 'string' || t.length > 200))
+      throw new Malformed('rigs must be a list of machine types or null');
+    types = body.rigs as string[];
+  }
+  return {
+    id,
+    jobClass: text(body, 'bracket'),
+    team: text(body, 'crew'),
+    rank,
+    tasks: count(body, 'hands', 1, MAX_TASKS),
+    cpus: amount(body, 'cores'),
+    gpus: amount(body, 'accelerators'),
+    memoryGb: amount(body, 'memoryGb'),
+    image: text(body, 'deck'),
+    imageGb: amount(body, 'pullGb'),
+    types,
+    zone: absent(body.hall) ? null : text(body, 'hall'),
+    oneZone: flag(body, 'oneZone'),
+    spread: flag(body, 'scatter'),
+    spot: flag(body, 'loaner'),
+    estimateS: amount(body, 'expectedS'),
+    checkpointS: amount(body, 'markEveryS'),
+    saveS: amount(body, 'markCostS'),
+    deadlineS: absent(body.dueS) ? null : amount(body, 'dueS'),
+  };
+}
+
+export type Standing = 'queued' | 'running' | 'done' | 'cancelled';
+
+export function jobAnswer(id: string, standing: Standing, done: number, running: number): Json {
+  return { id, standing, done, running };
+}
+
+export function acceptedAnswer(id: string, standing: Standing): Json {
+  return { id, standing };
+}
+
+const STATES: Record<string, TaskState> = {
+  pulling: 'fetching',
+  running: 'running',
+  saving: 'saving',
+  exited: 'exited',
+};
+const CAUSES: Record<string, ExitCause> = {
+  done: 'done',
+  halted: 'stopped',
+  error: 'error',
+  full: 'no_room',
+  busy: 'busy',
+  unknown: 'unknown',
+};
+
+const TASK_NAME = /^(.+)\/(\d{1,6})$/;
+
+function parseTask(v: unknown): TaskReport {
+  if (!isObject(v)) throw new Malformed('task is not an object');
+  const match = TASK_NAME.exec(text(v, 'hand', 220));
+  if (!match) throw new Malformed('task name');
+  const state = STATES[String(v.standing)];
+  if (!state) throw new Malformed('task state');
+  // An end for a reason that is not known here is treated as a failed one: it is retried.
+  const cause = state === 'exited' ? (CAUSES[String(v.cause)] ?? 'error') : null;
+  return {
+    job: match[1] as string,
+    index: Number(match[2]),
+    attempt: count(v, 'try'),
+    state,
+    cause,
+    saved: v.kept === true,
+  };
+}
+
+export function parseReport(body: unknown): MachineReport {
+  if (!isObject(body)) throw new Malformed('not an object');
+  if (!Array.isArray(body.hands)) throw new Malformed('hands must be a list');
+  return {
+    machine: text(body, 'cart'),
+    address: text(body, 'endpoint'),
+    type: text(body, 'rig'),
+    zone: text(body, 'hall'),
+    spot: flag(body, 'loaner'),
+    session: count(body, 'shift'),
+    seq: count(body, 'tally'),
+    token: count(body, 'baton'),
+    noticeS: absent(body.recallS) ? null : amount(body, 'recallS'),
+    tasks: body.hands.map(parseTask),
+  };
+}
+
+function encodeOrder(order: Order): Json {
+  const base = { hand: `${order.job}/${order.index}`, try: order.attempt };
+  if (order.op === 'start') return { verb: 'run', ...base };
+  if (order.op === 'stop') return { verb: 'kill', ...base, windDownS: order.graceS };
+  return { verb: 'forget', ...base };
+}
+
+export function reportAnswer(token: number, orders: Order[]): Json {
+  return { baton: token, orders: orders.map(encodeOrder) };
+}
+
+export function notLeaderAnswer(leader: string | null): Json {
+  return leader === null ? {} : { steward: leader };
+}
+
+export function commandsBody(token: number, session: number, orders: Order[]): Json {
+  return { baton: token, shift: session, orders: orders.map(encodeOrder) };
+}
+
+function list(body: unknown, field: string): unknown[] {
+  const v = isObject(body) ? body[field] : undefined;
+  if (!Array.isArray(v)) throw new Malformed(`${field} must be a list`);
+  return v;
+}
+
+export function parseTypes(body: unknown): MachineType[] {
+  return list(body, 'rigs').map((v) => {
+    if (!isObject(v)) throw new Malformed('machine type is not an object');
+    return {
+      name: text(v, 'sku'),
+      cpus: amount(v, 'cores'),
+      gpus: absent(v.accelerators) ? 0 : amount(v, 'accelerators'),
+      memoryGb: amount(v, 'memoryGb'),
+      cacheGb: amount(v, 'cacheGb'),
+      fetchGbPerS: amount(v, 'pullGbPerS', true),
+      price: amount(v, 'rate'),
+      spotPrice: absent(v.spotPrice) ? amount(v, 'rate') : amount(v, 'spotPrice'),
+      bootS: amount(v, 'readyS'),
+      zones: list(v, 'halls').map(String),
+    };
+  });
+}
+
+export function parseMachineList(body: unknown): { machines: ListedMachine[]; more: boolean } {
+  const machines = list(body, 'carts').map((v): ListedMachine => {
+    if (!isObject(v)) throw new Malformed('machine is not an object');
+    const state = v.standing;
+    if (state !== 'booting' && state !== 'running' && state !== 'failed')
+      throw new Malformed('machine state');
+    return {
+      id: text(v, 'id'),
+      address: typeof v.endpoint === 'string' ? v.endpoint : '',
+      type: text(v, 'rig'),
+      zone: text(v, 'hall'),
+      spot: flag(v, 'loaner'),
+      state,
+      ageS: absent(v.ageS) ? 0 : amount(v, 'ageS'),
+    };
+  });
+  return { machines, more: (body as Json).hasNext === true };
+}
+
+export function machineListTarget(after: string | null, limit: number): string {
+  const from = after === null ? '' : `after=${encodeURIComponent(after)}&`;
+  return `${PATHS.machines}?${from}limit=${limit}`;
+}
+
+export interface RentRequest {
+  name: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export function rentBody(r: RentRequest): Json {
+  return { hire: r.name, rig: r.type, hall: r.zone, loaner: r.spot, count: r.count };
+}
+
+export function parseRented(body: unknown): string[] {
+  return list(body, 'carts').filter((v): v is string => typeof v === 'string');
+}
+
+export function returnBody(machines: string[]): Json {
+  return { carts: machines };
+}
