--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -23,7 +23,9 @@
 
 export interface CorePolicy {
   weights: { throughput: number; cost: number; locality: number };
-  headroom: number;
+  waitSpread: number;
+  spread: number;
+  smoothBoots: number;
   drainBoots: number;
   idleBoots: number;
   bootPatience: number;
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -1,7 +1,7 @@
 import type { Cluster } from './cluster.js';
 import { type Drain, fitsType, type Machine } from './machine.js';
 import { type JobSpec, type MachineType, typeFits } from './model.js';
-import { allowed, isReady, open } from './placement.js';
+import { allowed, isReady } from './placement.js';
 
 export interface RentPlan {
   type: string;
@@ -11,12 +11,26 @@
   why: Record<string, unknown>;
 }
 
-interface Load {
+/** What arrives of one kind of work, smoothed over a few boot times. */
+export interface Load {
   spec: JobSpec;
-  /** Task-seconds that arrive each second, smoothed. */
-  rate: number;
+  /** Tasks that run at once on average: task-seconds arriving each second. */
+  mean: number;
+  /** The variance of that number: arrays arrive whole. */
+  variance: number;
+  /** What a task of this kind takes on average. */
+  shape: Shape;
 }
 
+interface Shape {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** Rented at once of one type, zone and kind; the next round sees how far it got. */
+const RENT_STEP = 6;
+
 interface Refusal {
   until: number;
   times: number;
@@ -27,40 +41,54 @@
   type: MachineType;
   zone: string;
   spot: boolean;
-  /** Machine-seconds free within the horizon. */
+  /** Part of the machine that no need is laid on yet. */
   free: number;
-  fresh: boolean;
 }
 
-interface Demand {
+interface Need {
   spec: JobSpec;
-  /** Task-seconds. */
-  work: number;
-  backlog: boolean;
+  shape: Shape;
+  /** Tasks to be run at once. */
+  slots: number;
+  /** Work that is ready now. */
+  backlog: number;
 }
 
 /**
- * Rents by unplaced demand: ready work and what is expected to arrive within
- * the time a machine takes to boot are laid over what the machines can do in
- * that time; what is left over is rented for, and a machine that stays empty
- * in this plan goes back.
+ * Rents by unplaced demand. For each kind of work the tasks to be run at once
+ * are estimated: the mean of what arrives, a margin for arrays arriving whole
+ * (by the share that the aims ask for), and what it takes to work off a
+ * backlog beyond the usual. These are laid over the machines that are up or
+ * booting; what finds no room is rented for, and a machine on which nothing
+ * was laid goes back once it has been idle for a while.
  */
 export class Renting {
-  private readonly loads = new Map<string, Load>();
+  private loads = new Map<string, Load>();
   private readonly refusals = new Map<string, Refusal>();
   private lastDecay: number | null = null;
-  /** The plan's machines that no work was laid on. */
+  /** The plan's machines that no need was laid on. */
   private unneeded = new Set<Machine>();
 
   constructor(private readonly cluster: Cluster) {}
 
   /** A job has arrived: its work counts towards what is expected. */
   arrived(spec: JobSpec): void {
-    const key = `${spec.jobClass}|${spec.rank}|${spec.spot}|${spec.types}|${spec.zone}|${spec.cpus}`;
-    const load = this.loads.get(key) ?? { spec, rate: 0 };
+    const load = this.loads.get(kindOf(spec)) ?? { spec, mean: 0, variance: 0, shape: spec };
+    const seconds = this.holdS(spec) / this.smoothS();
     load.spec = spec;
-    load.rate += (spec.tasks * this.cluster.estimateS(spec) * 1000) / this.smoothMs();
-    this.loads.set(key, load);
+    load.shape = blend(load.shape, load.mean, spec, spec.tasks * seconds);
+    load.mean += spec.tasks * seconds;
+    load.variance += spec.tasks * spec.tasks * seconds;
+    this.loads.set(kindOf(spec), load);
+  }
+
+  /** For the state service, so that a takeover does not forget what to expect. */
+  snapshot(): Load[] {
+    return [...this.loads.values()];
+  }
+
+  restore(loads: Load[]): void {
+    this.loads = new Map(loads.map((l) => [kindOf(l.spec), l]));
   }
 
   refused(plan: RentPlan, now: number): void {
@@ -78,19 +106,31 @@
     this.refusals.delete(classKey(plan.type, plan.zone, plan.spot));
   }
 
-  private smoothMs(): number {
-    let boot = 0;
+  private bootS(): number {
+    let boot = 1;
     for (const t of this.cluster.types.values()) boot = Math.max(boot, t.bootS);
-    return Math.max(1, boot) * 2000;
+    return boot;
+  }
+
+  private smoothS(): number {
+    return this.bootS() * this.cluster.policy.smoothBoots;
+  }
+
+  /** How long a task holds its room: its run and, now and then, the fetch of its image. */
+  private holdS(spec: JobSpec): number {
+    let rate = 0;
+    for (const t of this.cluster.types.values()) rate = Math.max(rate, t.fetchGbPerS);
+    return this.cluster.estimateS(spec) + (rate > 0 ? (spec.imageGb / rate) * 0.3 : 0);
   }
 
   private decay(now: number): void {
     const since = this.lastDecay === null ? 0 : now - this.lastDecay;
     this.lastDecay = now;
-    const keep = Math.exp(-since / this.smoothMs());
+    const keep = Math.exp(-since / (this.smoothS() * 1000));
     for (const [key, load] of this.loads) {
-      load.rate *= keep;
-      if (load.rate < 1e-3) this.loads.delete(key);
+      load.mean *= keep;
+      load.variance *= keep;
+      if (load.mean < 1e-3) this.loads.delete(key);
     }
   }
 
@@ -98,16 +138,12 @@
     const { cluster } = this;
     this.decay(now);
     if (cluster.types.size === 0) return [];
-    let boot = 0;
-    for (const t of cluster.types.values()) boot = Math.max(boot, t.bootS);
-    const horizon = boot * (1 + cluster.policy.drainBoots);
-    const supply = this.supply(horizon, now);
+    const supply = this.supply(now);
     const plans: RentPlan[] = [];
     const used = new Set<Machine>();
-    for (const demand of this.demands(horizon, now)) {
-      let left = this.lay(demand, supply, used);
-      if (left <= 0) continue;
-      left = this.rentFor(demand, left, horizon, supply, plans, now);
+    for (const need of this.needs(now)) {
+      const left = this.lay(need, supply, used);
+      if (left > 0) this.rentFor(need, left, supply, plans, now);
     }
     this.unneeded = new Set(
       supply.flatMap((s) => (s.machine && !used.has(s.machine) ? [s.machine] : [])),
@@ -115,121 +151,118 @@
     return plans;
   }
 
-  private supply(horizon: number, now: number): Supply[] {
+  private supply(now: number): Supply[] {
     const { cluster } = this;
     const out: Supply[] = [];
     for (const m of cluster.machines.values()) {
       if (m.type === null || m.drain !== null) continue;
-      let free: number;
-      if (m.upAt === null) {
-        free = horizon - Math.max(1, m.type.bootS - (now - m.rentedAt) / 1000);
-      } else {
-        if (!open(cluster, m, now) && now - m.lastReport > cluster.timing.silentMs) continue;
-        free = horizon;
-        for (const b of m.bindings.values()) {
-          if (b.state === 'exited') continue;
-          const k = Math.max(1, fitsType(m.type, b.job.spec));
-          free -= Math.min(horizon, cluster.remainingS(b, now)) / k;
-        }
-      }
-      out.push({
-        machine: m,
-        type: m.type,
-        zone: m.zone,
-        spot: m.spot,
-        free: Math.max(0, free),
-        fresh: m.upAt === null,
-      });
+      if (m.upAt !== null && now - m.lastReport > cluster.timing.silentMs) continue;
+      out.push({ machine: m, type: m.type, zone: m.zone, spot: m.spot, free: 1 });
     }
-    // Work is laid on what is in use first, so that what is left empty is what can go back.
+    // Needs are laid on what is in use first, so that what is left empty is what can go back.
     return out.sort(
       (a, b) =>
         Number(b.spot) - Number(a.spot) ||
-        a.free - b.free ||
+        (b.machine?.fill ?? 0) - (a.machine?.fill ?? 0) ||
         (a.machine?.id ?? '').localeCompare(b.machine?.id ?? ''),
     );
   }
 
-  private demands(horizon: number, now: number): Demand[] {
+  private needs(now: number): Need[] {
     const { cluster } = this;
-    const out: Demand[] = [];
+    const drainS = this.bootS() * (1 + cluster.policy.drainBoots);
+    const work = new Map<string, { spec: JobSpec; shape: Shape; ready: number; seconds: number }>();
+    const add = (spec: JobSpec, tasks: number, seconds: number, ready: boolean) => {
+      const w = work.get(kindOf(spec)) ?? { spec, shape: spec, ready: 0, seconds: 0 };
+      w.shape = blend(w.shape, w.seconds, spec, tasks * seconds);
+      w.seconds += tasks * seconds;
+      if (ready) w.ready += tasks;
+      work.set(kindOf(spec), w);
+    };
     for (const job of cluster.jobs.values()) {
-      if (!isReady(job, false, now)) continue;
-      out.push({ spec: job.spec, work: job.ready * cluster.estimateS(job.spec), backlog: true });
+      if (isReady(job, false, now)) add(job.spec, job.ready, this.holdS(job.spec), true);
+      for (const b of job.bound.values()) add(job.spec, 1, cluster.remainingS(b, now), false);
     }
-    for (const load of this.loads.values()) {
-      const waits = (cluster.aims.get(load.spec.jobClass)?.waitS ?? null) !== null;
-      const headroom = waits ? cluster.policy.headroom ** 2 : cluster.policy.headroom;
-      out.push({ spec: load.spec, work: load.rate * horizon * headroom, backlog: false });
+    const out: Need[] = [];
+    for (const key of new Set([...work.keys(), ...this.loads.keys()])) {
+      const load = this.loads.get(key);
+      const w = work.get(key);
+      const spec = (w ?? load)?.spec;
+      if (!spec) continue;
+      const mean = load?.mean ?? 0;
+      const margin = Math.sqrt(load?.variance ?? 0) * this.spreads(spec);
+      const excess = Math.max(0, (w?.seconds ?? 0) - mean * this.holdS(spec)) / drainS;
+      const shape = blend(
+        load?.shape ?? spec,
+        mean + margin,
+        w?.shape ?? spec,
+        Math.max(0, excess - margin),
+      );
+      out.push({ spec, shape, slots: mean + Math.max(margin, excess), backlog: w?.ready ?? 0 });
     }
-    // Those that may go nowhere but on ordinary machines choose first.
+    // What may run on ordinary machines only chooses first among them.
     return out.sort(
-      (a, b) =>
-        Number(b.backlog) - Number(a.backlog) ||
-        a.spec.rank - b.spec.rank ||
-        Number(a.spec.spot) - Number(b.spec.spot),
+      (a, b) => a.spec.rank - b.spec.rank || Number(a.spec.spot) - Number(b.spec.spot),
     );
   }
 
-  /** Lays work over the supply; returns the task-seconds that found no place. */
-  private lay(demand: Demand, supply: Supply[], used: Set<Machine>): number {
-    let left = demand.work;
+  /** How many standard deviations of room the class's aims are worth. */
+  private spreads(spec: JobSpec): number {
+    const aim = this.cluster.aims.get(spec.jobClass);
+    const waits = (aim?.waitS ?? null) !== null;
+    return waits ? this.cluster.policy.waitSpread : this.cluster.policy.spread;
+  }
+
+  /** Lays a need over the supply; returns the slots that found no place. */
+  private lay(need: Need, supply: Supply[], used: Set<Machine>): number {
+    let left = need.slots;
     for (const s of supply) {
-      if (left <= 0) break;
-      if (s.free <= 0 || !typeAllowed(s.type, s.zone, s.spot, demand.spec)) continue;
-      if (s.machine && !allowed(s.machine, demand.spec)) continue;
-      const k = fitsType(s.type, demand.spec);
-      if (k === 0) continue;
+      if (left <= 1e-9) break;
+      if (s.free <= 1e-9 || !typeAllowed(s.type, s.zone, s.spot, need.spec)) continue;
+      if (fitsType(s.type, need.spec) === 0) continue;
+      const k = slotsOf(s.type, need.shape);
       const take = Math.min(left, s.free * k);
       s.free -= take / k;
       left -= take;
       if (s.machine) used.add(s.machine);
     }
-    return left;
+    return Math.max(0, left);
   }
 
   private rentFor(
-    demand: Demand,
-    work: number,
-    horizon: number,
+    need: Need,
+    slots: number,
     supply: Supply[],
     plans: RentPlan[],
     now: number,
-  ): number {
-    const options = this.options(demand.spec, now);
-    let left = work;
-    for (const o of options) {
-      const k = fitsType(o.type, demand.spec);
-      const each = k * Math.max(1, horizon - o.type.bootS);
+  ): void {
+    let left = slots;
+    for (const o of this.options(need.spec, now)) {
+      const k = slotsOf(o.type, need.shape);
       // A small rest is left to the machines there are, unless none of them could ever take it.
-      let count = Math.floor(left / each + 0.5);
-      if (count === 0 && demand.backlog && !this.somewhere(demand.spec)) count = 1;
-      if (count === 0) break;
-      count = Math.min(count, 4);
+      let count = Math.floor(left / k + 0.5);
+      if (count === 0 && need.backlog > 0 && !this.somewhere(need.spec)) count = 1;
+      if (count === 0) return;
+      count = Math.min(count, RENT_STEP);
       plans.push({
         type: o.type.name,
         zone: o.zone,
         spot: o.spot,
         count,
         why: {
-          class: demand.spec.jobClass,
-          backlog: demand.backlog,
-          taskSeconds: Math.round(left),
+          class: need.spec.jobClass,
+          slots: Math.round(need.slots),
+          short: Math.round(left),
+          ready: need.backlog,
         },
       });
-      for (let i = 0; i < count; i++)
-        supply.push({
-          machine: null,
-          type: o.type,
-          zone: o.zone,
-          spot: o.spot,
-          free: Math.max(0, horizon - o.type.bootS - Math.min(left, each) / k),
-          fresh: true,
-        });
-      left -= each * count;
-      if (left <= 0) break;
+      for (let i = 0; i < count; i++) {
+        const free = 1 - Math.min(1, left / k);
+        left -= k;
+        supply.push({ machine: null, type: o.type, zone: o.zone, spot: o.spot, free });
+      }
+      if (left <= 0) return;
     }
-    return left;
   }
 
   private somewhere(spec: JobSpec): boolean {
@@ -318,3 +351,32 @@
 function classKey(type: string, zone: string, spot: boolean): string {
   return `${type}|${zone}|${spot}`;
 }
+
+function kindOf(spec: JobSpec): string {
+  return `${spec.jobClass}|${spec.rank}|${spec.spot}|${spec.types}|${spec.zone}`;
+}
+
+/** The mean of two shapes by weight. */
+function blend(a: Shape, weightA: number, b: Shape, weightB: number): Shape {
+  const sum = weightA + weightB;
+  if (sum <= 0) return { cpus: b.cpus, gpus: b.gpus, memoryGb: b.memoryGb };
+  const mix = (x: number, y: number) => (x * weightA + y * weightB) / sum;
+  return {
+    cpus: mix(a.cpus, b.cpus),
+    gpus: mix(a.gpus, b.gpus),
+    memoryGb: mix(a.memoryGb, b.memoryGb),
+  };
+}
+
+/** How many tasks of the mean shape a machine runs at once: a part of one may be left over. */
+function slotsOf(type: MachineType, shape: Shape): number {
+  return Math.max(
+    0.1,
+    Math.min(
+      1e5,
+      shape.cpus > 0 ? type.cpus / shape.cpus : 1e5,
+      shape.gpus > 0 ? type.gpus / shape.gpus : 1e5,
+      shape.memoryGb > 0 ? type.memoryGb / shape.memoryGb : 1e5,
+    ),
+  );
+}
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -8,7 +8,7 @@
 import type { Machine } from '../core/machine.js';
 import type { ListedMachine, MachineReport, Order } from '../core/model.js';
 import { round } from '../core/placement.js';
-import { Renting, type RentPlan } from '../core/renting.js';
+import { type Load, Renting, type RentPlan } from '../core/renting.js';
 import type { Entry, StoreEvent } from '../protocol/store.js';
 import { isObject } from '../protocol/wire.js';
 import { Stopped } from './clock.js';
@@ -18,6 +18,7 @@
 
 const LIVE = 'live/';
 const BITS = 'bits/';
+const LOADS_KEY = 'loads';
 const ROSTER = 'roster/';
 /** A transaction's own limit in the protocol, with room for its frame. */
 const TRANSACTION_BYTES = 56 * 1024;
@@ -29,7 +30,9 @@
       cost: p['score.cost'],
       locality: p['score.locality'],
     },
-    headroom: p['rent.headroom'],
+    waitSpread: p['rent.wait-spread'],
+    spread: p['rent.spread'],
+    smoothBoots: p['rent.smooth-boots'],
     drainBoots: p['rent.drain-boots'],
     idleBoots: p['rent.idle-boots'],
     bootPatience: p['rent.boot-patience'],
@@ -169,6 +172,9 @@
     }
     const live = await this.readAll(LIVE);
     for (const e of live.entries) this.addLive(e.key, e.value, e.version);
+    // What was expected before goes on; the jobs there are were counted in it.
+    const loads = await this.insist((s) => ctx.state.get(LOADS_KEY, Priority.ends, s));
+    if (loads && Array.isArray(loads.value)) this.renting.restore(loads.value as Load[]);
     const bits = await this.readAll(BITS);
     for (const e of bits.entries) {
       const [, id = '', chunk = ''] = e.key.split('/');
@@ -419,6 +425,12 @@
         const types = await this.cloud.types(signal);
         cluster.setTypes(types);
         await storeTypes(ctx, types, signal);
+        await ctx.state.transact(
+          [{ key: LEADER_KEY, version: this.term.version }],
+          [{ op: 'put', key: LOADS_KEY, value: this.renting.snapshot() }],
+          Priority.progress,
+          signal,
+        );
       } catch (error) {
         if (signal.aborted) return;
         ctx.log.debug({ error: String((error as Error).message) }, 'machine types not answered');
