--- a/src/config/timing.ts
+++ b/src/config/timing.ts
@@ -29,6 +29,8 @@
   rentMs: number;
   silentMs: number;
   workerLeaseMs: number;
+  /** The leader tells of the fleet in the log this often. */
+  reportEveryMs: number;
 }
 
 export function timingOf(platform: Platform): Timing {
@@ -58,5 +60,6 @@
     rentMs: reportMs / 3,
     silentMs: reportMs * 3,
     workerLeaseMs,
+    reportEveryMs: workerLeaseMs / 2,
   };
 }
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -364,7 +364,6 @@
       // The answer that carried the start was dropped: the worker sends one report at a time and drops late answers.
       else if (beat && b.sentSeq !== null && r.seq > b.sentSeq && !b.direct) this.release(b, 0);
     }
-    if (!m.busy && m.bindings.size === 0) this.settleIdle(m, now - 1);
   }
 
   /** A task that an earlier leader started, or that was taken for lost. */
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -271,6 +271,32 @@
     return false;
   }
 
+  /** The fleet and the needs in short, for the log. */
+  overview(now: number): Record<string, unknown> {
+    const kinds = {
+      ordinary: { up: 0, booting: 0, fill: 0 },
+      spot: { up: 0, booting: 0, fill: 0 },
+    };
+    for (const m of this.cluster.machines.values()) {
+      const kind = m.spot ? kinds.spot : kinds.ordinary;
+      if (m.upAt === null) kind.booting++;
+      else {
+        kind.up++;
+        kind.fill += m.fill;
+      }
+    }
+    const round = (x: number) => Math.round(x * 10) / 10;
+    kinds.ordinary.fill = round(kinds.ordinary.fill);
+    kinds.spot.fill = round(kinds.spot.fill);
+    const needs = this.needs(now).map((n) => ({
+      class: n.spec.jobClass,
+      mean: round(this.loads.get(kindOf(n.spec))?.mean ?? 0),
+      slots: round(n.slots),
+      ready: n.backlog,
+    }));
+    return { ...kinds, needs };
+  }
+
   /** What may be rented for the job, cheapest work first, the zone with the fewest machines first. */
   private options(spec: JobSpec, now: number) {
     const out: { type: MachineType; zone: string; spot: boolean; price: number; here: number }[] =
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -350,6 +350,7 @@
 
   private async rent(signal: AbortSignal): Promise<void> {
     const { ctx, cluster, renting } = this;
+    let toldAt = 0;
     // The list comes first: what an earlier leader rented is not rented again.
     await ctx.clock.sleep(ctx.timing.listMs, signal);
     while (!signal.aborted) {
@@ -360,7 +361,13 @@
       const returns = renting.returns(now).slice(0, RETURN_LIMIT);
       if (returns.length > 0) await this.giveBack(returns, signal);
       for (const plan of plans) await this.hire(plan, signal);
-      ctx.log.debug({ jobs: cluster.jobs.size, machines: cluster.machines.size }, 'rent plan');
+      if (now - toldAt > ctx.timing.reportEveryMs) {
+        toldAt = now;
+        ctx.log.info(
+          { term: this.term.term, jobs: cluster.jobs.size, ...renting.overview(now) },
+          'fleet',
+        );
+      }
     }
   }
 
