Peers, direct commands, confirmation by command, and a fairer look at silence

Now controllers tell each other terms and pass reports and users' requests on, a cut-off node keeps workers' leases alive, a silent machine is returned early only when its zone is heard, and starts, stops and confirmations go straight to the machines.

--- a/src/clients/state.ts
+++ b/src/clients/state.ts
@@ -79,6 +79,8 @@
   private readonly requests: Budget;
   private readonly changes: Budget;
   private queued = 0;
+  /** Since when no request has been served; null while the last one was. */
+  troubleSince: number | null = null;
 
   constructor(private readonly options: StateOptions) {
     const { requestsPerS, changesPerS, clock } = options;
@@ -166,9 +168,16 @@
     signal?: AbortSignal,
   ): Promise<Answer> {
     await this.spend(priority, changes, signal);
-    return this.check(
-      await this.http.request(method, target, body, this.options.timeoutMs, signal),
-    );
+    try {
+      const answer = this.check(
+        await this.http.request(method, target, body, this.options.timeoutMs, signal),
+      );
+      this.troubleSince = null;
+      return answer;
+    } catch (error) {
+      if (!signal?.aborted) this.troubleSince ??= this.options.clock.now();
+      throw error;
+    }
   }
 
   /** Waits for the budget, within the time that an answer could still be of use. */
--- /dev/null
+++ b/src/clients/worker.ts
@@ -0,0 +1,53 @@
+import { splitAddress } from '../config/settings.js';
+import type { MachineReport, Order } from '../core/model.js';
+import { HttpClient } from '../http/client.js';
+import { commandsBody, PATHS, parseReport } from '../protocol/wire.js';
+
+export interface CommandAnswer {
+  /** False: nothing was executed, since a higher token or another session is there. */
+  executed: boolean;
+  report: MachineReport;
+}
+
+/** Sends commands straight to workers, over one kept connection each. */
+export class WorkerClient {
+  private readonly clients = new Map<string, HttpClient>();
+
+  constructor(private readonly timeoutMs: number) {}
+
+  async command(
+    address: string,
+    token: number,
+    session: number,
+    orders: Order[],
+    signal: AbortSignal,
+  ): Promise<CommandAnswer> {
+    let client = this.clients.get(address);
+    if (!client) {
+      client = new HttpClient(splitAddress(address), {
+        connections: 1,
+        bodyLimit: 4 * 1024 * 1024,
+      });
+      this.clients.set(address, client);
+    }
+    const answer = await client.request(
+      'POST',
+      PATHS.commands,
+      commandsBody(token, session, orders),
+      this.timeoutMs,
+      signal,
+    );
+    return { executed: answer.status === 200, report: parseReport(answer.body) };
+  }
+
+  /** The machine is gone. */
+  drop(address: string): void {
+    this.clients.get(address)?.close();
+    this.clients.delete(address);
+  }
+
+  close(): void {
+    for (const client of this.clients.values()) client.close();
+    this.clients.clear();
+  }
+}
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -19,6 +19,8 @@
   workerLeaseMs: number;
   listProofMs: number;
   silentMs: number;
+  /** How long after a job's end a start of it may be in doubt. */
+  lapseMs: number;
 }
 
 export interface CorePolicy {
@@ -72,6 +74,8 @@
   private readonly ratios = new Map<string, number>();
   /** Something happened that may let a task be placed. */
   stirred = true;
+  /** Machines with orders that have not left. */
+  readonly toTell = new Set<Machine>();
   /** Time of day less steady time, for ages of jobs. */
   wallOffset = 0;
   private attempts = 0;
@@ -106,15 +110,16 @@
   }
 
   /** The job has been cancelled or its end is durable: nothing of it may start, what runs is stopped. */
-  endJob(id: string): void {
+  endJob(id: string, now: number): void {
     const job = this.jobs.get(id);
     if (!job) return;
     job.over = true;
+    job.overAt = now;
     this.jobs.delete(id);
     for (const chunk of job.chunks) this.cleanup.add(chunkKey(id, chunk));
     for (const b of [...job.bound.values()]) {
       if (b.state === 'assigned' && b.sentSeq === null && !b.direct) this.release(b, 0);
-      else b.stop = { graceS: 0, since: 0 };
+      else this.stop(b, 0);
     }
     for (const waiting of job.dirty.values()) for (const b of waiting) b.settled = true;
     job.dirty.clear();
@@ -171,8 +176,16 @@
   }
 
   /** A machine of the durable roster, which an earlier leader may have given tasks. */
-  inheritMachine(id: string, type: string, zone: string, spot: boolean, now: number): void {
+  inheritMachine(
+    id: string,
+    type: string,
+    zone: string,
+    spot: boolean,
+    address: string,
+    now: number,
+  ): void {
     const m = this.machine(id, type, zone, spot, 0, now);
+    m.address = address;
     m.rostered = true;
     m.inherited = true;
     m.lastReport = now;
@@ -197,6 +210,7 @@
     if (!m) return;
     const lost = this.releaseAll(m);
     this.machines.delete(id);
+    this.toTell.delete(m);
     this.strayTasks.delete(id);
     this.rosterPuts.delete(m);
     if (m.rostered || m.rostering) this.rosterDeletes.add(id);
@@ -243,6 +257,12 @@
     this.teamUse.set(team, u);
   }
 
+  /** Has the task stopped; repeated until its exit is reported. */
+  stop(b: Binding, graceS: number): void {
+    b.stop = { graceS, told: false };
+    this.toTell.add(b.machine);
+  }
+
   /** Binds a ready task to a machine; the start leaves with the next answer or command. */
   assign(job: Job, index: number, m: Machine, now: number): Binding {
     const b = this.binding(job, index, this.term * ATTEMPTS_PER_TERM + ++this.attempts, m, now);
@@ -250,6 +270,7 @@
     m.add(b);
     m.touchImage(job.spec);
     job.bind(b);
+    this.toTell.add(m);
     return b;
   }
 
@@ -376,7 +397,7 @@
     const other = job.bound.get(t.index);
     if (other && other.state === 'assigned' && other.sentSeq === null && !other.direct)
       this.release(other, 0);
-    if (job.isDone(t.index) || job.bound.has(t.index)) b.stop = { graceS: 0, since: now };
+    if (job.isDone(t.index) || job.bound.has(t.index)) this.stop(b, 0);
     else job.bind(b);
     return b;
   }
@@ -418,7 +439,7 @@
     const other = job.bound.get(b.index);
     const first = job.finish(b.index);
     job.unbind(b, 0);
-    if (other && other !== b) other.stop = { graceS: 0, since: now };
+    if (other && other !== b) this.stop(other, 0);
     if (!first || job.over) return;
     b.settled = false;
     const chunk = Math.floor(b.index / this.tasksPerChunk);
@@ -481,6 +502,59 @@
     return out;
   }
 
+  // Commands sent straight to a machine
+
+  /** What a machine is to be told at once; starts are in doubt from here on until they are answered. */
+  urgent(m: Machine): { orders: Order[]; starts: Binding[] } {
+    const orders: Order[] = [];
+    const starts: Binding[] = [];
+    if (!m.confirmed) return { orders, starts };
+    for (const b of m.bindings.values()) {
+      if (orders.length >= ORDERS_PER_ANSWER) break;
+      const base = { job: b.job.spec.id, index: b.index, attempt: b.attempt };
+      if (b.state === 'assigned') {
+        if (b.job.over || b.sentSeq !== null || b.direct) continue;
+        b.direct = true;
+        starts.push(b);
+        orders.push({ op: 'start', ...base });
+      } else if (b.stop && !b.stop.told && b.state !== 'exited') {
+        b.stop.told = true;
+        orders.push({ op: 'stop', ...base, graceS: b.stop.graceS });
+      }
+    }
+    return { orders, starts };
+  }
+
+  /** The machine answered the command with its report `seq`: nothing of it is under way any more. */
+  answered(starts: Binding[], executed: boolean, seq: number): void {
+    for (const b of starts) {
+      b.direct = false;
+      // Executed: only a later report that lacks it could show it lost.
+      if (executed) b.sentSeq = Math.max(b.sentSeq ?? 0, seq);
+      // Not executed, and it never will be: the request has had its answer.
+      else if (b.state === 'assigned' && b.sentSeq === null) this.release(b, 0);
+    }
+  }
+
+  /** The command never left: the starts go with the next report's answer. */
+  unsent(starts: Binding[]): void {
+    for (const b of starts) b.direct = false;
+  }
+
+  /**
+   * A direct start of a job that is over may still be on its way to the
+   * machine, held back by a cut. It is refused only in a later session, so the
+   * machine's lease has to run out, with all else that it runs.
+   */
+  mustLapse(r: MachineReport, now: number): boolean {
+    const m = this.machines.get(r.machine);
+    if (!m || r.session !== m.session) return false;
+    for (const b of m.bindings.values())
+      if (b.job.over && b.direct && b.state === 'assigned')
+        if (now - b.job.overAt > this.timing.lapseMs) return true;
+    return false;
+  }
+
   // The cloud's list
 
   /** A whole list, asked for at `askedAt`. */
--- a/src/core/flush.ts
+++ b/src/core/flush.ts
@@ -25,7 +25,7 @@
 export const rosterKey = (id: string) => `roster/${id}`;
 
 /** What stands to be written, the most pressing first. */
-export function flushUnits(cluster: Cluster, limits: FlushLimits): Unit[] {
+export function flushUnits(cluster: Cluster, limits: FlushLimits, now: number): Unit[] {
   const units: Unit[] = [];
   for (const m of cluster.rosterPuts) units.push(rosterUnit(cluster, m));
   let spare = limits.spare;
@@ -40,9 +40,9 @@
           { op: 'delete', key: liveKey(id) },
         ],
         size: 400 + 2 * id.length,
-        applied: () => cluster.endJob(id),
+        applied: () => cluster.endJob(id, now),
         // Its live key is gone, so it has an end already; ends are never rewritten.
-        conflict: () => cluster.endJob(id),
+        conflict: () => cluster.endJob(id, now),
         retry: () => {},
       });
       continue;
@@ -96,7 +96,7 @@
       {
         op: 'put',
         key: rosterKey(m.id),
-        value: { type: m.typeName, zone: m.zone, spot: m.spot },
+        value: { type: m.typeName, zone: m.zone, spot: m.spot, address: m.address },
       },
     ],
     size: 400,
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -26,6 +26,7 @@
   heldUntil = 0;
   /** Cancelled or moved to the ended jobs: nothing of it may start. */
   over = false;
+  overAt = 0;
   /** The transaction that ends it is on its way. */
   ending = false;
   /** Set each round: fits its team's guarantee with the team's earlier jobs. */
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -19,7 +19,8 @@
   direct: boolean;
   boundAt: number;
   runningSince: number | null;
-  stop: { graceS: number; since: number } | null;
+  /** `told`: a direct command has carried it; reports' answers repeat it all the same. */
+  stop: { graceS: number; told: boolean } | null;
   cause: ExitCause | null;
   /** What its exit reported is durable, or needs no keeping: the worker may forget it. */
   settled: boolean;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -265,7 +265,7 @@
       const victim = victims.shift();
       if (need <= 0 || !victim) break;
       const s = victim.b.job.spec;
-      victim.b.stop = { graceS: s.checkpointS > 0 ? s.saveS : 0, since: now };
+      cluster.stop(victim.b, s.checkpointS > 0 ? s.saveS : 0);
       free.cpus += s.cpus;
       free.gpus += s.gpus;
       free.memoryGb += s.memoryGb;
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -332,7 +332,7 @@
       }
       const silent = now - m.lastReport;
       if (silent > cluster.timing.silentMs) {
-        if (silent > this.silencePatience(m, now)) out.push({ machine: m, why: 'silent' });
+        if (silent > this.silencePatience(m)) out.push({ machine: m, why: 'silent' });
         continue;
       }
       if (m.drain === 'sick') out.push({ machine: m, why: 'sick' });
@@ -349,20 +349,17 @@
   }
 
   /**
-   * A silent machine is fenced by returning it. When much of its zone is
-   * silent with it, a cut is likelier than a death: its tasks may live on, so
-   * more time is given.
+   * A silent machine is fenced by returning it, once other machines of its
+   * zone have been heard since. When nobody of the zone was, a cut is likelier
+   * than a death: its tasks may live on and it may come back, so it is given
+   * as long as a new one would take.
    */
-  private silencePatience(m: Machine, now: number): number {
-    let silent = 0;
-    let all = 0;
-    for (const o of this.cluster.machines.values()) {
-      if (o.zone !== m.zone || o.upAt === null) continue;
-      all++;
-      if (now - o.lastReport > this.cluster.timing.silentMs) silent++;
-    }
-    const cut = silent >= 2 && silent > all * 0.7;
-    return cut ? this.cluster.timing.workerLeaseMs * 1.5 : this.cluster.timing.silentMs;
+  private silencePatience(m: Machine): number {
+    const { reportMs, silentMs, workerLeaseMs } = this.cluster.timing;
+    for (const o of this.cluster.machines.values())
+      if (o !== m && o.zone === m.zone && o.lastReport > m.lastReport + reportMs * 1.5)
+        return silentMs;
+    return Math.max(workerLeaseMs * 2, (m.type?.bootS ?? 0) * 1000 + workerLeaseMs);
   }
 }
 
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -1,14 +1,17 @@
+import { setMaxListeners } from 'node:events';
 import { Priority } from '../clients/budget.js';
 import type { CloudClient } from '../clients/cloud.js';
 import { RETURN_LIMIT } from '../clients/cloud.js';
 import { Refused } from '../clients/state.js';
+import { WorkerClient } from '../clients/worker.js';
 import type { Policy } from '../config/policy.js';
 import { type ClassAim, Cluster, type CorePolicy } from '../core/cluster.js';
 import { flushUnits, type Unit } from '../core/flush.js';
-import type { Machine } from '../core/machine.js';
+import type { Binding, Machine } from '../core/machine.js';
 import type { ListedMachine, MachineReport, Order } from '../core/model.js';
 import { round } from '../core/placement.js';
 import { type Load, Renting, type RentPlan } from '../core/renting.js';
+import { NotSent } from '../http/client.js';
 import type { Entry, StoreEvent } from '../protocol/store.js';
 import { isObject } from '../protocol/wire.js';
 import { Stopped } from './clock.js';
@@ -47,6 +50,9 @@
 type Page = Awaited<ReturnType<Context['state']['listPage']>>;
 type MachinePage = Awaited<ReturnType<CloudClient['list']>>;
 
+/** Machines confirmed at the same time after a takeover. */
+const CONFIRM_LANES = 8;
+
 /** The duties of one term: takeover, watch, rounds, durable progress, cloud. */
 export class Leader {
   readonly cluster: Cluster;
@@ -55,6 +61,9 @@
   ready = false;
   private hires = 0;
   private lastRound = 0;
+  /** Machines with a direct command under way: one at a time each. */
+  private readonly telling = new Set<string>();
+  private readonly workers: WorkerClient;
 
   constructor(
     private readonly ctx: Context,
@@ -77,6 +86,7 @@
         workerLeaseMs: ctx.timing.workerLeaseMs,
         listProofMs: ctx.timing.listProofMs,
         silentMs: ctx.timing.silentMs,
+        lapseMs: ctx.timing.lapseMs,
       },
       policy,
       aims,
@@ -85,6 +95,9 @@
       (message, fields) => ctx.log.info({ term: term.term, ...fields }, message),
     );
     this.renting = new Renting(this.cluster);
+    this.workers = new WorkerClient(ctx.timing.commandTimeoutMs);
+    setMaxListeners(0, term.signal);
+    term.signal.addEventListener('abort', () => this.workers.close(), { once: true });
   }
 
   async run(): Promise<void> {
@@ -102,6 +115,7 @@
       'takeover read',
     );
     await Promise.all([
+      this.duty('confirm', (s) => this.confirmAll(s)),
       this.duty('watch', (s) => this.watch(revision, s)),
       this.duty('rounds', (s) => this.rounds(s)),
       this.duty('flush', (s) => this.flush(s)),
@@ -167,6 +181,7 @@
         String(v.type),
         String(v.zone),
         v.spot === true,
+        typeof v.address === 'string' ? v.address : '',
         ctx.clock.now(),
       );
     }
@@ -213,7 +228,8 @@
       // Too old a revision: what is no longer listed has ended.
       const live = await this.readAll(LIVE);
       const known = new Set(live.entries.map((e) => e.key.slice(LIVE.length)));
-      for (const id of [...this.cluster.jobs.keys()]) if (!known.has(id)) this.cluster.endJob(id);
+      for (const id of [...this.cluster.jobs.keys()])
+        if (!known.has(id)) this.cluster.endJob(id, ctx.clock.now());
       for (const e of live.entries) this.addLive(e.key, e.value, e.version);
       after = live.revision;
     }
@@ -221,14 +237,17 @@
 
   private apply(e: StoreEvent): void {
     if (e.op === 'put') this.addLive(e.key, e.value, e.version);
-    else this.cluster.endJob(e.key.slice(LIVE.length));
+    else this.cluster.endJob(e.key.slice(LIVE.length), this.ctx.clock.now());
+    // What the job still runs is stopped without waiting for reports.
+    if (this.cluster.toTell.size > 0) setImmediate(() => this.tell());
   }
 
-  /** Takes a worker's report and returns the orders that go back with its answer. */
-  report(r: MachineReport): Order[] {
+  /** Takes a worker's report and returns the orders that go back with its answer; null leaves it unanswered. */
+  report(r: MachineReport): Order[] | null {
     if (!this.ready) return [];
     const { cluster, term, ctx } = this;
     const now = ctx.clock.now();
+    if (cluster.mustLapse(r, now)) return null;
     if (!cluster.report(r, true, now) || !term.proven()) return [];
     // Room that this report has freed is filled in its own answer.
     if (cluster.stirred) this.round(now);
@@ -236,6 +255,17 @@
     return m ? cluster.orders(m) : [];
   }
 
+  /** Done and running tasks of live jobs, for display. */
+  counts(limit: number): [string, number, number][] {
+    const out: [string, number, number][] = [];
+    for (const job of this.cluster.jobs.values()) {
+      if (job.done === 0 && job.bound.size === 0) continue;
+      out.push([job.spec.id, job.done, job.bound.size]);
+      if (out.length >= limit) break;
+    }
+    return out;
+  }
+
   private round(now: number): boolean {
     this.cluster.stirred = false;
     this.lastRound = now;
@@ -244,9 +274,88 @@
     // Under overload a round decides more at once, so that its fixed cost is shared.
     const limit = Math.max(this.policy.machineStarts, Math.ceil(ready / 8));
     const result = round(this.cluster, limit, now);
+    // After the answer to a report that is being handled now has taken its own orders.
+    if (this.cluster.toTell.size > 0) setImmediate(() => this.tell());
     return result.started.length >= limit;
   }
 
+  /**
+   * Tells the inherited machines the new token without waiting for their
+   * reports: an answer under it confirms the machine.
+   */
+  private async confirmAll(signal: AbortSignal): Promise<void> {
+    const left = [...this.cluster.machines.values()].filter((m) => m.inherited);
+    const lane = async () => {
+      for (let m = left.pop(); m && !signal.aborted; m = left.pop())
+        if (m.inherited && m.address !== '') await this.confirm(m, signal);
+    };
+    await Promise.all(Array.from({ length: CONFIRM_LANES }, lane));
+  }
+
+  private async confirm(m: Machine, signal: AbortSignal): Promise<void> {
+    const { term, ctx } = this;
+    try {
+      // Most machines are in their first session; the refusal tells of a later one.
+      let session = Math.max(1, m.session);
+      for (let tries = 0; tries < 2 && term.proven(); tries++) {
+        const answer = await this.workers.command(m.address, term.term, session, [], signal);
+        this.takeCommandAnswer(m, answer.report);
+        if (answer.executed || answer.report.session === session) return;
+        session = answer.report.session;
+      }
+    } catch (error) {
+      if (!signal.aborted)
+        ctx.log.debug(
+          { machine: m.id, error: String((error as Error).message) },
+          'not confirmed by command',
+        );
+    }
+  }
+
+  /** Sends what should not wait for the machines' next reports. */
+  private tell(): void {
+    const { cluster, term } = this;
+    if (!term.proven()) return;
+    for (const m of cluster.toTell) {
+      if (this.telling.has(m.id)) continue;
+      cluster.toTell.delete(m);
+      const { orders, starts } = cluster.urgent(m);
+      if (orders.length > 0) void this.command(m, orders, starts);
+    }
+  }
+
+  private async command(m: Machine, orders: Order[], starts: Binding[]): Promise<void> {
+    const { cluster, term, ctx } = this;
+    this.telling.add(m.id);
+    try {
+      const answer = await this.workers.command(
+        m.address,
+        term.term,
+        m.session,
+        orders,
+        term.signal,
+      );
+      this.takeCommandAnswer(m, answer.report);
+      cluster.answered(starts, answer.executed, answer.report.seq);
+    } catch (error) {
+      if (error instanceof NotSent) cluster.unsent(starts);
+      if (!term.signal.aborted)
+        ctx.log.debug(
+          { machine: m.id, error: String((error as Error).message) },
+          'command not answered',
+        );
+    } finally {
+      this.telling.delete(m.id);
+      if (cluster.toTell.has(m)) setImmediate(() => this.tell());
+    }
+  }
+
+  private takeCommandAnswer(m: Machine, report: MachineReport): void {
+    if (report.machine !== m.id) return;
+    if (report.token > this.term.term) this.term.resign('a worker knows a higher token');
+    else this.cluster.report(report, false, this.ctx.clock.now());
+  }
+
   private async rounds(signal: AbortSignal): Promise<void> {
     const { ctx, cluster } = this;
     const restMs = ctx.timing.roundMs * 10;
@@ -269,7 +378,7 @@
     while (!signal.aborted) {
       await ctx.clock.sleep(tickMs, signal);
       spare = Math.min(spare + sparePerTick, state.write_rps * 0.5);
-      const units = flushUnits(cluster, { spare });
+      const units = flushUnits(cluster, { spare }, ctx.clock.now());
       let from = 0;
       while (from < units.length) {
         const batch: Unit[] = [];
--- a/src/duties/leadership.ts
+++ b/src/duties/leadership.ts
@@ -49,6 +49,10 @@
 export class Leadership {
   /** The node that leads as far as is known. */
   leader: string | null = null;
+  /** The term of that leader. */
+  knownTerm: number | null = null;
+  /** The highest term heard of, from anybody. */
+  highest = 0;
   current: Term | null = null;
   private announcedRefusal = false;
 
@@ -74,6 +78,12 @@
     }
   }
 
+  /** Somebody knows of this term: an older one of ours is over. */
+  heardOf(term: number): void {
+    this.highest = Math.max(this.highest, term);
+    if (this.current && this.current.term < term) this.current.resign('a later term is known');
+  }
+
   /** Looks who leads; waits for a change, or stands when nobody does. */
   private async turn(signal: AbortSignal): Promise<void> {
     const { ctx } = this;
@@ -88,6 +98,8 @@
       }
       if (record.incarnation !== ctx.incarnation) {
         this.leader = record.node;
+        this.knownTerm = record.term;
+        this.highest = Math.max(this.highest, record.term);
         await ctx.state.watch(LEADER_KEY, page.revision, ctx.timing.watchMs, signal);
         return;
       }
@@ -96,6 +108,7 @@
       return;
     }
     this.leader = null;
+    this.knownTerm = null;
     await this.stand(signal);
   }
 
@@ -171,6 +184,8 @@
     };
     this.current = term;
     this.leader = ctx.node;
+    this.knownTerm = number;
+    this.highest = Math.max(this.highest, number);
     ctx.log.info({ term: number }, 'leadership won');
     const work = this.lead(term).catch((error) => {
       if (!ended.signal.aborted) {
@@ -199,6 +214,7 @@
       signal.removeEventListener('abort', stop);
       this.current = null;
       this.leader = null;
+      this.knownTerm = null;
       await work;
     }
     if (!signal.aborted) await ctx.state.revoke(lease, signal).catch(() => {});
--- a/src/duties/node.ts
+++ b/src/duties/node.ts
@@ -6,11 +6,13 @@
 import { timingOf } from '../config/timing.js';
 import type { Message } from '../http/parser.js';
 import { type Reply, serve } from '../http/server.js';
-import { notLeaderAnswer, PATHS, parseReport, reportAnswer, WITHDRAW } from '../protocol/wire.js';
+import { PATHS, parseReport, WITHDRAW } from '../protocol/wire.js';
 import { type Clock, Stopped } from './clock.js';
 import type { Context } from './context.js';
 import { corePolicy, Leader } from './leader.js';
 import { Leadership } from './leadership.js';
+import { COUNTS_PER_STATUS, Peers } from './peers.js';
+import { Reports } from './reports.js';
 import { readTypes } from './types.js';
 import { Users } from './users.js';
 
@@ -24,6 +26,8 @@
   private readonly state: StateClient;
   private readonly users: Users;
   private readonly leadership: Leadership;
+  private readonly reports: Reports;
+  private readonly peers: Peers;
   private leader: Leader | null = null;
 
   constructor(
@@ -63,7 +67,7 @@
     };
     this.users = new Users(this.ctx, (id) => {
       const job = this.leader?.cluster.jobs.get(id);
-      return job ? { done: job.done, running: job.bound.size } : null;
+      return job ? { done: job.done, running: job.bound.size } : this.peers.countsOf(id);
     });
     this.leadership = new Leadership(this.ctx, async (term) => {
       const leader = new Leader(this.ctx, this.cloud, term, corePolicy(policy));
@@ -74,6 +78,20 @@
         this.leader = null;
       }
     });
+    this.peers = new Peers(this.ctx, {
+      status: () => ({
+        node: platform.node,
+        incarnation,
+        term: this.leadership.highest,
+        leading: this.leader !== null,
+        stateOk: this.state.troubleSince === null,
+        counts: this.leader?.counts(COUNTS_PER_STATUS) ?? [],
+      }),
+      onTerm: (term) => this.leadership.heardOf(term),
+      serveUser: (method, target, body) => this.serveUser(method, target, body),
+      takeReport: async (body) => this.reports.lead(parseReport(JSON.parse(body.toString()))),
+    });
+    this.reports = new Reports(this.ctx, this.leadership, () => this.leader, this.peers);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -92,7 +110,11 @@
       signal,
     );
     ctx.log.info({ node: ctx.node, bind: this.platform.bind }, 'listening');
-    await Promise.all([this.learnTypes(signal), this.leadership.run(signal)]);
+    await Promise.all([
+      this.learnTypes(signal),
+      this.leadership.run(signal),
+      this.peers.run(signal),
+    ]);
     this.state.close();
     this.cloud.close();
   }
@@ -109,56 +131,68 @@
     }
   }
 
-  private route(request: Message): Reply | Promise<Reply> {
+  private async route(request: Message): Promise<Reply> {
     const target = request.target.split('?', 1)[0] as string;
-    if (target === PATHS.report) return this.only('POST', request, () => this.report(request.body));
-    if (target === PATHS.health) return this.only('GET', request, () => this.health());
-    if (target === PATHS.jobs)
-      return this.only('POST', request, () => this.users.submit(request.body));
+    if (target === PATHS.report)
+      return only('POST', request.method, () => this.reports.handle(request.body));
+    if (target === PATHS.health) return only('GET', request.method, () => this.health());
+    return this.user(request.method, target, request.body);
+  }
+
+  /** Serves a user here or, while the state service fails this node alone, through a peer. */
+  private async user(method: string, target: string, body: Buffer): Promise<Reply> {
+    const { clock, timing } = this.ctx;
+    const trouble = this.state.troubleSince;
+    // A single slow answer is no trouble; the try here shows when it is over.
+    const lasting = trouble !== null && clock.now() - trouble > timing.stateTimeoutMs * 0.5;
+    if (lasting && target.startsWith(PATHS.jobs)) {
+      const passed = await this.pass(method, target, body);
+      if (passed) return passed;
+    }
+    const reply = await this.serveUser(method, target, body);
+    if (reply.status !== 503) return reply;
+    return (await this.pass(method, target, body)) ?? reply;
+  }
+
+  private async pass(method: string, target: string, body: Buffer): Promise<Reply | null> {
+    const peer = this.peers.served();
+    if (peer === null) return null;
+    try {
+      const reply = await this.peers.passUser(peer, method, target, body);
+      return reply.status === 503 ? null : reply;
+    } catch (error) {
+      this.ctx.log.debug(
+        { peer, error: String((error as Error).message) },
+        'request not passed on',
+      );
+      return null;
+    }
+  }
+
+  private async serveUser(method: string, target: string, body: Buffer): Promise<Reply> {
+    if (target === PATHS.jobs) return only('POST', method, () => this.users.submit(body));
     if (target.startsWith(`${PATHS.jobs}/`)) {
       const rest = target.slice(PATHS.jobs.length + 1).split('/');
       const id = rest[0] as string;
-      if (rest.length === 1) return this.only('GET', request, () => this.users.query(id));
+      if (rest.length === 1) return only('GET', method, () => this.users.query(id));
       if (rest.length === 2 && rest[1] === WITHDRAW)
-        return this.only('POST', request, () => this.users.withdraw(id));
+        return only('POST', method, () => this.users.withdraw(id));
     }
     return { status: 404, body: { error: 'no such path' } };
   }
 
-  private only(
-    method: string,
-    request: Message,
-    handler: () => Reply | Promise<Reply>,
-  ): Reply | Promise<Reply> {
-    if (request.method !== method) return { status: 405, body: { error: `use ${method}` } };
-    return handler();
-  }
-
   private health(): Reply {
     return this.ctx.types
       ? { status: 200, body: { status: 'ok' } }
       : { status: 503, body: { error: 'machine types are not known yet' } };
   }
+}
 
-  private report(body: Buffer): Reply {
-    const { ctx, leadership } = this;
-    const term = leadership.current;
-    if (!term || !this.leader) {
-      const leader = leadership.leader === ctx.node ? null : leadership.leader;
-      return { status: 421, body: notLeaderAnswer(leader) };
-    }
-    let report: ReturnType<typeof parseReport>;
-    try {
-      report = parseReport(JSON.parse(body.toString()));
-    } catch (error) {
-      return { status: 400, body: { error: String((error as Error).message) } };
-    }
-    if (report.token > term.term) {
-      // The worker has answered to a later leader.
-      term.resign('a report carries a higher token');
-      return { status: 421, body: notLeaderAnswer(null) };
-    }
-    if (!term.mayAnswer()) return { status: 503, body: { error: 'leadership is not proven' } };
-    return { status: 200, body: reportAnswer(term.term, this.leader.report(report)) };
-  }
+function only(
+  method: string,
+  asked: string,
+  handler: () => Reply | Promise<Reply>,
+): Reply | Promise<Reply> {
+  if (asked !== method) return { status: 405, body: { error: `use ${method}` } };
+  return handler();
 }
--- /dev/null
+++ b/src/duties/peers.ts
@@ -0,0 +1,110 @@
+import { splitAddress } from '../config/settings.js';
+import type { Reply } from '../http/server.js';
+import { PeerNet, type Status } from '../peer/net.js';
+import type { Context } from './context.js';
+
+/** Live jobs whose counts a status carries, at the most. */
+export const COUNTS_PER_STATUS = 256;
+
+interface Heard {
+  status: Status;
+  at: number;
+}
+
+export interface PeerDuties {
+  status: () => Status;
+  /** A peer knows of this term. */
+  onTerm: (term: number) => void;
+  serveUser: (method: string, target: string, body: Buffer) => Promise<Reply>;
+  takeReport: (body: Buffer) => Promise<Reply>;
+}
+
+interface Passed {
+  method: string;
+  target: string;
+  body: Uint8Array;
+}
+
+/** What passes between the controllers: status all the time, requests passed on when a cut asks for it. */
+export class Peers {
+  private readonly net: PeerNet;
+  private readonly heard = new Map<string, Heard>();
+  private readonly counts = new Map<string, { done: number; running: number }>();
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly duties: PeerDuties,
+  ) {
+    const { platform, timing, clock, log } = ctx;
+    this.net = new PeerNet({
+      ...splitAddress(platform.peer_listen),
+      peers: platform.peers.map((p) => ({ node: p.node, address: splitAddress(p.address) })),
+      clock,
+      retryMs: timing.renewMs * 0.5,
+      onStatus: (status) => this.take(status),
+      onAsk: (op, payload) => this.serve(op, payload),
+      onError: (error) => log.debug({ error: String((error as Error).message) }, 'peer'),
+    });
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.net.run(signal), this.tell(signal)]);
+  }
+
+  connected(node: string): boolean {
+    return this.net.connected(node);
+  }
+
+  countsOf(job: string): { done: number; running: number } | null {
+    return this.counts.get(job) ?? null;
+  }
+
+  /** A connected peer that the state service serves, as far as its last status tells. */
+  served(): string | null {
+    const now = this.ctx.clock.now();
+    for (const [node, h] of this.heard)
+      if (h.status.stateOk && now - h.at < this.ctx.timing.renewMs * 2.5 && this.connected(node))
+        return node;
+    return null;
+  }
+
+  async passUser(node: string, method: string, target: string, body: Buffer): Promise<Reply> {
+    const payload: Passed = { method, target, body };
+    return this.reply(
+      await this.net.ask(node, 'user', payload, this.ctx.timing.stateTimeoutMs * 1.5),
+    );
+  }
+
+  async passReport(node: string, body: Buffer): Promise<Reply> {
+    return this.reply(await this.net.ask(node, 'report', body, this.ctx.timing.stateTimeoutMs));
+  }
+
+  private reply(answer: unknown): Reply {
+    const reply = answer as Reply;
+    if (typeof reply?.status !== 'number') throw new Error('peer gave no reply');
+    return reply;
+  }
+
+  private async tell(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.net.tell(this.duties.status());
+      await this.ctx.clock.sleep(this.ctx.timing.renewMs, signal);
+    }
+  }
+
+  private take(status: Status): void {
+    if (typeof status?.node !== 'string' || typeof status.term !== 'number') return;
+    this.heard.set(status.node, { status, at: this.ctx.clock.now() });
+    this.duties.onTerm(status.term);
+    if (!status.leading || !Array.isArray(status.counts)) return;
+    this.counts.clear();
+    for (const [job, done, running] of status.counts) this.counts.set(job, { done, running });
+  }
+
+  private async serve(op: string, payload: unknown): Promise<unknown> {
+    if (op === 'report') return this.duties.takeReport(Buffer.from(payload as Uint8Array));
+    if (op !== 'user') throw new Error(`unknown question ${op}`);
+    const { method, target, body } = payload as Passed;
+    return this.duties.serveUser(method, target, Buffer.from(body));
+  }
+}
--- /dev/null
+++ b/src/duties/reports.ts
@@ -0,0 +1,138 @@
+import { Priority } from '../clients/budget.js';
+import { liveKey } from '../core/flush.js';
+import type { MachineReport, Order } from '../core/model.js';
+import type { Reply } from '../http/server.js';
+import { notLeaderAnswer, parseReport, reportAnswer } from '../protocol/wire.js';
+import type { Context } from './context.js';
+import type { Leader } from './leader.js';
+import type { Leadership } from './leadership.js';
+import type { Peers } from './peers.js';
+
+interface Guest {
+  /** When it was last sent to the leader. */
+  sentAt: number;
+  /** When it came back and was served here. */
+  servedSince: number | null;
+  /** When this node first answered it without the leader. */
+  deputySince: number | null;
+}
+
+/** Guests not heard of for this many worker leases are forgotten. */
+const GUEST_LEASES = 5;
+
+/**
+ * Workers' reports. The leader takes them. Another node names the leader;
+ * when a worker comes back all the same, a cut keeps the two apart: the node
+ * then passes the report on or, cut off itself, keeps the worker's lease alive
+ * with the leader's own token for a while and orders nothing but the end of
+ * cancelled work.
+ */
+export class Reports {
+  private readonly guests = new Map<string, Guest>();
+  private sweptAt = 0;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly leadership: Leadership,
+    private readonly leader: () => Leader | null,
+    private readonly peers: Peers,
+  ) {}
+
+  async handle(body: Buffer): Promise<Reply> {
+    let report: MachineReport;
+    try {
+      report = parseReport(JSON.parse(body.toString()));
+    } catch (error) {
+      return { status: 400, body: { error: String((error as Error).message) } };
+    }
+    if (this.leader()) return this.lead(report);
+    const { ctx, leadership } = this;
+    const leader = leadership.leader;
+    if (leader === null || leader === ctx.node) return { status: 421, body: notLeaderAnswer(null) };
+    const now = ctx.clock.now();
+    this.sweep(now);
+    const { reportMs } = this;
+    const guest = this.guests.get(report.machine);
+    const returned = guest !== undefined && now - guest.sentAt < reportMs * 4;
+    const settled =
+      guest?.servedSince !== null &&
+      guest !== undefined &&
+      now - guest.servedSince > ctx.timing.workerLeaseMs;
+    if (!returned || settled) {
+      // Also now and then for one that is served here: the cut may be over.
+      this.guests.set(report.machine, {
+        sentAt: now,
+        servedSince: null,
+        deputySince: guest?.deputySince ?? null,
+      });
+      return { status: 421, body: notLeaderAnswer(leader) };
+    }
+    guest.servedSince ??= now;
+    guest.sentAt = now;
+    if (this.peers.connected(leader)) {
+      try {
+        const reply = await this.peers.passReport(leader, body);
+        guest.deputySince = null;
+        return reply;
+      } catch (error) {
+        ctx.log.debug({ error: String((error as Error).message) }, 'report not passed on');
+      }
+    }
+    return this.stand(report, guest);
+  }
+
+  /** A report that a peer passed on, or one of our own. */
+  lead(report: MachineReport): Reply {
+    const leader = this.leader();
+    const term = this.leadership.current;
+    if (!leader || !term) return { status: 421, body: notLeaderAnswer(null) };
+    if (report.token > term.term) {
+      // The worker has answered to a later leader.
+      term.resign('a report carries a higher token');
+      return { status: 421, body: notLeaderAnswer(null) };
+    }
+    if (!term.mayAnswer()) return { status: 503, body: { error: 'leadership is not proven' } };
+    const orders = leader.report(report);
+    if (orders === null) return { status: 503, body: { error: 'the lease has to run out' } };
+    return { status: 200, body: reportAnswer(term.term, orders) };
+  }
+
+  private get reportMs(): number {
+    return this.ctx.platform.settings.workers.report_s * 1000;
+  }
+
+  private async stand(report: MachineReport, guest: Guest): Promise<Reply> {
+    const { ctx, leadership } = this;
+    const term = leadership.knownTerm;
+    const away = { status: 421, body: notLeaderAnswer(null) };
+    if (term === null || report.token !== term) return away;
+    const now = ctx.clock.now();
+    if (guest.deputySince === null) {
+      guest.deputySince = now;
+      ctx.log.info({ machine: report.machine, term }, 'keeping a cut-off machine');
+    }
+    if (now - guest.deputySince > ctx.timing.deputyMs) return away;
+    const orders: Order[] = [];
+    try {
+      // Whoever answers a worker answers for the cancellations too.
+      const over = new Map<string, boolean>();
+      for (const t of report.tasks) {
+        if (t.state === 'exited') continue;
+        if (!over.has(t.job))
+          over.set(t.job, (await ctx.state.get(liveKey(t.job), Priority.ends)) === null);
+        if (over.get(t.job))
+          orders.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
+      }
+    } catch {
+      return { status: 503, body: { error: 'the state service is out of reach' } };
+    }
+    return { status: 200, body: reportAnswer(term, orders) };
+  }
+
+  private sweep(now: number): void {
+    const keep = this.ctx.timing.workerLeaseMs * GUEST_LEASES;
+    if (now - this.sweptAt < keep) return;
+    this.sweptAt = now;
+    for (const [id, g] of this.guests) if (now - g.sentAt > keep) this.guests.delete(id);
+  }
+}
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -14,6 +14,9 @@
 /** The request was not answered: it may or may not have been carried out. */
 export class NoAnswer extends Error {}
 
+/** The request never left: no connection was had. */
+export class NotSent extends NoAnswer {}
+
 interface Pooled {
   socket: net.Socket;
   parser: Parser;
@@ -71,7 +74,7 @@
     this.closed = true;
     for (const c of this.idle) c.socket.destroy();
     this.idle = [];
-    for (const w of this.waiting) w.reject(new NoAnswer('closed'));
+    for (const w of this.waiting) w.reject(new NotSent('closed'));
     this.waiting = [];
   }
 
@@ -81,13 +84,13 @@
       if (!kept) break;
       if (!kept.socket.destroyed) return Promise.resolve(kept);
     }
-    if (this.closed) return Promise.reject(new NoAnswer('closed'));
+    if (this.closed) return Promise.reject(new NotSent('closed'));
     if (this.open < this.options.connections) return this.connect(deadline, signal);
     return new Promise((resolve, reject) => {
       const timer = setTimeout(
         () => {
           this.waiting = this.waiting.filter((w) => w !== waiter);
-          reject(new NoAnswer('no free connection'));
+          reject(new NotSent('no free connection'));
         },
         Math.max(1, deadline - Date.now()),
       );
@@ -113,7 +116,7 @@
         clearTimeout(timer);
         signal?.removeEventListener('abort', aborted);
         socket.destroy();
-        reject(new NoAnswer(why));
+        reject(new NotSent(why));
       };
       const aborted = () => fail('aborted');
       const timer = setTimeout(() => fail('connect timed out'), Math.max(1, deadline - Date.now()));
