--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -20,6 +20,10 @@
   variance: number;
   /** What a task of this kind takes on average. */
   shape: Shape;
+  /** Mean milliseconds between arrivals; null until there were two. */
+  gapMs: number | null;
+  /** Time since the last arrival; kept as a span, since clocks differ between leaders. */
+  quietMs: number;
 }
 
 interface Shape {
@@ -28,6 +32,11 @@
   memoryGb: number;
 }
 
+/** After this many mean gaps without an arrival a stream counts as stopped: chance alone does so once in fifty. */
+const QUIET_GAPS = 4;
+/** A stopped stream is forgotten this many times as fast. */
+const FADE = 8;
+
 /** Rented at once of one type, zone and kind; the next round sees how far it got. */
 const RENT_STEP = 6;
 
@@ -73,7 +82,16 @@
 
   /** A job has arrived: its work counts towards what is expected. */
   arrived(spec: JobSpec): void {
-    const load = this.loads.get(kindOf(spec)) ?? { spec, mean: 0, variance: 0, shape: spec };
+    const load: Load = this.loads.get(kindOf(spec)) ?? {
+      spec,
+      mean: 0,
+      variance: 0,
+      shape: spec,
+      gapMs: null,
+      quietMs: this.smoothS() * 500,
+    };
+    load.gapMs = load.gapMs === null ? load.quietMs : load.gapMs * 0.9 + load.quietMs * 0.1;
+    load.quietMs = 0;
     const seconds = this.holdS(spec) / this.smoothS();
     load.spec = spec;
     load.shape = blend(load.shape, load.mean, spec, spec.tasks * seconds);
@@ -128,8 +146,12 @@
     this.lastDecay = now;
     const keep = Math.exp(-since / (this.smoothS() * 1000));
     for (const [key, load] of this.loads) {
-      load.mean *= keep;
-      load.variance *= keep;
+      // Far longer without an arrival than usual: the stream has stopped, and so does what is expected of it.
+      const silence = load.gapMs === null ? 0 : load.quietMs / load.gapMs;
+      const fade = silence > QUIET_GAPS ? keep ** FADE : keep;
+      load.quietMs += since;
+      load.mean *= fade;
+      load.variance *= fade;
       if (load.mean < 1e-3) this.loads.delete(key);
     }
   }
