Tests for the safety invariants, placement, renting, users and the wire; orderly stop

The stop signal ended the process with an unhandled Stopped; duties now end quietly and a leader gives its lease back, so that the next one need not wait.

--- a/src/duties/clock.ts
+++ b/src/duties/clock.ts
@@ -28,3 +28,12 @@
     });
   },
 };
+
+/** A wait that just ends when the signal does. */
+export async function pause(clock: Clock, ms: number, signal: AbortSignal): Promise<void> {
+  try {
+    await clock.sleep(ms, signal);
+  } catch (error) {
+    if (!(error instanceof Stopped)) throw error;
+  }
+}
--- a/src/duties/leadership.ts
+++ b/src/duties/leadership.ts
@@ -1,6 +1,6 @@
 import { Priority } from '../clients/budget.js';
 import { isObject } from '../protocol/wire.js';
-import { Stopped } from './clock.js';
+import { pause, Stopped } from './clock.js';
 import type { Context } from './context.js';
 
 export const LEADER_KEY = 'leader';
@@ -68,13 +68,14 @@
       try {
         await this.turn(signal);
         this.announcedRefusal = false;
+        continue;
       } catch (error) {
         if (signal.aborted || error instanceof Stopped) return;
         if (!this.announcedRefusal)
           ctx.log.info({ error: String((error as Error).message) }, 'state service out of reach');
         this.announcedRefusal = true;
-        await ctx.clock.sleep(ctx.timing.renewMs * (0.3 + Math.random() * 0.4), signal);
       }
+      await pause(ctx.clock, ctx.timing.renewMs * (0.3 + Math.random() * 0.4), signal);
     }
   }
 
@@ -217,6 +218,7 @@
       this.knownTerm = null;
       await work;
     }
-    if (!signal.aborted) await ctx.state.revoke(lease, signal).catch(() => {});
+    // With the duties ended nothing of this term is under way: the next leader need not wait.
+    await ctx.state.revoke(lease).catch(() => {});
   }
 }
--- a/src/duties/node.ts
+++ b/src/duties/node.ts
@@ -7,7 +7,7 @@
 import type { Message } from '../http/parser.js';
 import { type Reply, serve } from '../http/server.js';
 import { PATHS, parseReport, WITHDRAW } from '../protocol/wire.js';
-import { type Clock, Stopped } from './clock.js';
+import { type Clock, pause } from './clock.js';
 import type { Context } from './context.js';
 import { corePolicy, Leader } from './leader.js';
 import { Leadership } from './leadership.js';
@@ -109,7 +109,7 @@
       },
       signal,
     );
-    ctx.log.info({ node: ctx.node, bind: this.platform.bind }, 'listening');
+    ctx.log.info({ bind: this.platform.bind }, 'listening');
     await Promise.all([
       this.learnTypes(signal),
       this.leadership.run(signal),
@@ -125,9 +125,10 @@
       try {
         ctx.types = await readTypes(ctx, this.cloud, signal);
       } catch (error) {
-        if (signal.aborted || error instanceof Stopped) return;
-        await ctx.clock.sleep(ctx.timing.renewMs * 0.5, signal);
+        if (signal.aborted) return;
+        ctx.log.debug({ error: String((error as Error).message) }, 'machine types not read');
       }
+      if (!ctx.types) await pause(ctx.clock, ctx.timing.renewMs * 0.5, signal);
     }
   }
 
--- a/src/duties/peers.ts
+++ b/src/duties/peers.ts
@@ -1,6 +1,7 @@
 import { splitAddress } from '../config/settings.js';
 import type { Reply } from '../http/server.js';
 import { PeerNet, type Status } from '../peer/net.js';
+import { pause } from './clock.js';
 import type { Context } from './context.js';
 
 /** Live jobs whose counts a status carries, at the most. */
@@ -88,7 +89,7 @@
   private async tell(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.net.tell(this.duties.status());
-      await this.ctx.clock.sleep(this.ctx.timing.renewMs, signal);
+      await pause(this.ctx.clock, this.ctx.timing.renewMs, signal);
     }
   }
 
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -1,6 +1,5 @@
 import net from 'node:net';
-import type { Clock } from '../duties/clock.js';
-import { Stopped } from '../duties/clock.js';
+import { type Clock, pause } from '../duties/clock.js';
 import type { Address } from '../http/client.js';
 import { FrameReader, frame } from './frames.js';
 
@@ -109,12 +108,7 @@
     const { clock, retryMs } = this.options;
     while (!signal.aborted) {
       await this.session(node, address, signal);
-      try {
-        await clock.sleep(retryMs, signal);
-      } catch (error) {
-        if (error instanceof Stopped) return;
-        throw error;
-      }
+      await pause(clock, retryMs, signal);
     }
   }
 
--- /dev/null
+++ b/test/config.test.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DEFAULT_POLICY, parsePolicy } from '../src/config/policy.js';
+import { parsePlatform } from '../src/config/settings.js';
+import { DRIFT, timingOf } from '../src/config/timing.js';
+
+export const PLATFORM = {
+  node: 'n-0',
+  zone: 'a',
+  bind: '127.0.0.1:8080',
+  peer_listen: '127.0.0.1:8081',
+  peers: [],
+  external: { cloud: '127.0.0.1:1', state: '127.0.0.1:2' },
+  settings: {
+    size: 3,
+    zones: ['a', 'b'],
+    teams: [{ name: 'ops', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 }],
+    objectives: [{ kind: 'wait', class: 'work', within_s: 10, share: 0.9 }],
+    workers: { report_s: 3, lease_s: 20, cancel_s: 50 },
+    state: { rps: 200, write_rps: 50, value_kb: 8, txn_ops: 12 },
+    cloud: { rps: 3, list_lag_s: 5 },
+    quota: { cpu: 0.1, memory_mb: 200, max_sockets: 500 },
+    skew_ms: 5,
+    future: true,
+  },
+};
+
+test('the platform file is checked, and unknown fields are ignored', () => {
+  assert.equal(parsePlatform(JSON.stringify(PLATFORM), 'f').settings.size, 3);
+  const wrong = structuredClone(PLATFORM);
+  wrong.settings.workers.lease_s = -1;
+  assert.throws(
+    () => parsePlatform(JSON.stringify(wrong), 's.json'),
+    /s\.json: settings\.workers\.lease_s/,
+  );
+  assert.throws(() => parsePlatform('{', 's.json'), /s\.json: not JSON/);
+  assert.throws(() => parsePlatform('{}', 's.json'), /s\.json: /);
+});
+
+test('policy properties replace defaults; unknown keys and bad values are refused', () => {
+  const policy = parsePolicy('# ours\nscore.cost = 2.5\nrent.spread: 1\n', 'p');
+  assert.deepEqual(policy, { ...DEFAULT_POLICY, 'score.cost': 2.5, 'rent.spread': 1 });
+  assert.throws(() => parsePolicy('score.costs=1', 'p.properties'), /p\.properties: unknown key/);
+  assert.throws(() => parsePolicy('score.cost=abc', 'p.properties'), /score\.cost/);
+  assert.throws(() => parsePolicy('score.cost=', 'p.properties'), /score\.cost/);
+  assert.throws(() => parsePolicy('score.cost=-1', 'p.properties'), /score\.cost/);
+});
+
+test('the timers keep the distances that safety rests on', () => {
+  for (const [report_s, lease_s, cancel_s] of [
+    [3, 20, 50],
+    [3, 27, 52],
+    [5, 30, 45],
+  ] as const) {
+    const p = structuredClone(PLATFORM);
+    p.settings.workers = { report_s, lease_s, cancel_s };
+    const t = timingOf(parsePlatform(JSON.stringify(p), 'f'));
+    // Proof ends before another node could hold the lease.
+    assert.ok(t.provenMs < t.leaseMs * (1 - DRIFT));
+    assert.ok(t.renewMs * 2 < t.provenMs);
+    // With answers to reports over, leases end in time for a cancellation.
+    assert.ok((t.answerMs + lease_s * 1000) * (1 + DRIFT) < cancel_s * 1000);
+    assert.ok((t.deputyMs + lease_s * 1000) * (1 + DRIFT) < cancel_s * 1000);
+    assert.ok((t.lapseMs + lease_s * 1000) * (1 + DRIFT) < cancel_s * 1000);
+  }
+});
--- /dev/null
+++ b/test/leadership.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { LEADER_KEY, Leadership, type Term } from '../src/duties/leadership.js';
+import { FakeClock } from './support/clock.js';
+import { context } from './support/context.js';
+import { FakeState, FakeStore } from './support/state.js';
+
+function world() {
+  const clock = new FakeClock();
+  const store = new FakeStore(clock);
+  const stop = new AbortController();
+  const terms: Term[] = [];
+  const node = (name: string, incarnation = `${name}-1`) => {
+    const state = new FakeState(store);
+    const ctx = { ...context(name, state, clock), incarnation };
+    const own = new AbortController();
+    stop.signal.addEventListener('abort', () => own.abort());
+    const leadership = new Leadership(ctx, (term) => {
+      terms.push(term);
+      return new Promise((resolve) => {
+        term.signal.addEventListener('abort', () => resolve(), { once: true });
+      });
+    });
+    const done = leadership.run(own.signal);
+    return { ctx, state, leadership, crash: () => own.abort(), done };
+  };
+  return { clock, store, stop, terms, node };
+}
+
+test('one of several nodes leads, and the others name it', async () => {
+  const w = world();
+  const nodes = ['n-0', 'n-1', 'n-2'].map((n) => w.node(n));
+  await w.clock.advance(5000);
+  assert.equal(w.terms.length, 1);
+  const leaders = new Set(nodes.map((n) => n.leadership.leader));
+  assert.equal(leaders.size, 1);
+  assert.equal(nodes.filter((n) => n.leadership.current).length, 1);
+  w.stop.abort();
+});
+
+test('proof of leadership ends before another node can lead, and the term rises', async () => {
+  const w = world();
+  const first = w.node('n-0');
+  await w.clock.advance(3000);
+  const second = w.node('n-1');
+  await w.clock.advance(3000);
+  const old = first.leadership.current;
+  assert.ok(old);
+  assert.ok(old.proven());
+  // The node loses the state service alone; its lease runs out there.
+  first.state.fault = 'refuse';
+  for (let i = 0; i < 200 && !second.leadership.current; i++) {
+    await w.clock.advance(50);
+    assert.ok(!(old.proven() && second.leadership.current));
+  }
+  assert.equal(second.leadership.current?.term, old.term + 1);
+  assert.ok(old.mayAnswer());
+  // A peer tells of the later term.
+  first.leadership.heardOf(old.term + 1);
+  assert.equal(old.mayAnswer(), false);
+  w.stop.abort();
+});
+
+test('a restarted process ends its predecessor’s lease and leads at once', async () => {
+  const w = world();
+  const dead = w.node('n-0', 'n-0-1');
+  await w.clock.advance(3000);
+  assert.equal(w.terms.length, 1);
+  dead.crash();
+  // Killed without a word: the key is still there.
+  w.store.grant(1);
+  const again = w.node('n-0', 'n-0-2');
+  await w.clock.advance(500);
+  assert.equal(again.leadership.current?.term, 2);
+  w.stop.abort();
+});
+
+test('an election whose answer is lost is read back; one whose request was late never applies', async () => {
+  const w = world();
+  const a = w.node('n-0');
+  a.state.fault = 'lose request';
+  await w.clock.advance(3000);
+  a.state.fault = null;
+  await w.clock.advance(4000);
+  const term = a.leadership.current?.term;
+  assert.ok(term);
+  const held = w.store.entries.get(LEADER_KEY)?.version;
+  for (const late of a.state.late) {
+    try {
+      late();
+    } catch {
+      // Refused: its lease has ended.
+    }
+  }
+  assert.equal(w.store.entries.get(LEADER_KEY)?.version, held);
+  w.stop.abort();
+});
+
+test('in an outage of the state service the leader goes on answering, but not for longer than cancellations allow', async () => {
+  const w = world();
+  const a = w.node('n-0');
+  await w.clock.advance(3000);
+  const term = a.leadership.current;
+  assert.ok(term);
+  a.state.fault = 'refuse';
+  await w.clock.advance(a.ctx.timing.provenMs);
+  assert.equal(term.proven(), false);
+  assert.equal(term.mayAnswer(), true);
+  await w.clock.advance(a.ctx.timing.answerMs);
+  assert.equal(term.mayAnswer(), false);
+  w.stop.abort();
+});
--- /dev/null
+++ b/test/placement.test.ts
@@ -0,0 +1,171 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { round } from '../src/core/placement.js';
+import { beat, cluster, joined, ScriptedWorker, spec, TYPE, team } from './support/cluster.js';
+
+const names = (r: ReturnType<typeof round>) => r.started.map((b) => b.job.spec.id);
+
+test('rank goes first, then what fits its team’s guarantee, then arrival', () => {
+  const teams = [team({ name: 'ops' }), team({ name: 'vip', cpus: 4 })];
+  const c = cluster({ teams });
+  joined(c, new ScriptedWorker('n-1'), 0);
+  const shape = { tasks: 1, cpus: 4 };
+  c.addJob(spec({ ...shape, id: 'req-000001', rank: 3 }), 1, 0, false);
+  c.addJob(spec({ ...shape, id: 'req-000002' }), 2, 0, false);
+  c.addJob(spec({ ...shape, id: 'req-000003' }), 3, 0, false);
+  c.addJob(spec({ ...shape, id: 'req-000004', team: 'vip' }), 4, 0, false);
+  c.addJob(spec({ ...shape, id: 'req-000005', rank: 0 }), 5, 0, false);
+  assert.deepEqual(names(round(c, 32, 0)), [
+    'req-000005',
+    'req-000004',
+    'req-000002',
+    'req-000003',
+  ]);
+});
+
+test('like tasks of several jobs form one batch, which goes where it fits best', () => {
+  const c = cluster();
+  const busy = joined(c, new ScriptedWorker('n-1'), 0);
+  c.addJob(spec({ id: 'req-000009', tasks: 3, image: 'other' }), 1, 0, false);
+  round(c, 32, 0);
+  beat(c, busy, 0);
+  joined(c, new ScriptedWorker('n-2'), 0);
+  c.addJob(spec({ id: 'req-000001', tasks: 2 }), 2, 0, false);
+  c.addJob(spec({ id: 'req-000002', tasks: 2 }), 3, 0, false);
+  const r = round(c, 32, 0);
+  assert.deepEqual(new Set(r.started.map((b) => b.machine.id)), new Set(['n-2']));
+});
+
+test('a cached image, a lower price and a fuller machine win in this order of weights', () => {
+  const c = cluster();
+  joined(c, new ScriptedWorker('n-1', 'a', false), 0);
+  joined(c, new ScriptedWorker('n-2', 'a', true), 0);
+  c.addJob(spec({ id: 'req-000001', tasks: 1 }), 1, 0, false);
+  assert.equal(round(c, 32, 0).started[0]?.machine.id, 'n-2');
+  const dear = c.machines.get('n-1');
+  dear?.touchImage(spec({ image: 'hot' }));
+  c.addJob(spec({ id: 'req-000002', tasks: 1, image: 'hot' }), 2, 0, false);
+  assert.equal(round(c, 32, 0).started[0]?.machine.id, 'n-1');
+  const two = cluster();
+  joined(two, new ScriptedWorker('n-3'), 0);
+  const full = joined(two, new ScriptedWorker('n-4'), 0);
+  const m = two.machines.get(full.id);
+  assert.ok(m);
+  two.addJob(spec({ id: 'req-000003', tasks: 1, image: 'x' }), 1, 0, false);
+  const first = round(two, 32, 0).started[0]?.machine.id;
+  two.addJob(spec({ id: 'req-000004', tasks: 1, image: 'y' }), 2, 0, false);
+  assert.equal(round(two, 32, 0).started[0]?.machine.id, first);
+});
+
+test('type, zone, kind, oneZone and spread are kept', () => {
+  const other = { ...TYPE, name: 'm32', cpus: 32 };
+  const c = cluster({ types: [TYPE, other] });
+  joined(c, new ScriptedWorker('n-1', 'a', true), 0);
+  joined(c, new ScriptedWorker('n-2', 'b', false), 0);
+  joined(c, new ScriptedWorker('n-3', 'b', false), 0);
+  const place = (fields: Parameters<typeof spec>[0], version: number) => {
+    const id = `req-${version}`;
+    c.addJob(spec({ id, cpus: 1, memoryGb: 1, ...fields }), version, 0, false);
+    return round(c, 99, 0).started.filter((b) => b.job.spec.id === id);
+  };
+  assert.equal(place({ types: ['m32'] }, 1).length, 0);
+  assert.ok(place({ spot: false }, 2).every((b) => !b.machine.spot));
+  assert.ok(place({ zone: 'a' }, 3).every((b) => b.machine.zone === 'a'));
+  const apart = place({ spread: true, tasks: 5 }, 4);
+  const inA = apart.filter((b) => b.machine.zone === 'a').length;
+  assert.equal(apart.length, 5);
+  assert.ok(inA === 2 || inA === 3);
+  const together = place({ oneZone: true, tasks: 30 }, 5);
+  assert.equal(new Set(together.map((b) => b.machine.zone)).size, 1);
+});
+
+test('higher rank stops lower work that loses the least, once, and only after patience', () => {
+  const c = cluster();
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  c.addJob(spec({ id: 'req-000001', tasks: 3, rank: 3 }), 1, 0, false);
+  round(c, 32, 0);
+  beat(c, w, 0);
+  beat(c, w, 0);
+  c.addJob(spec({ id: 'req-000002', tasks: 1, rank: 3 }), 2, 0, false);
+  round(c, 32, 5000);
+  beat(c, w, 5000);
+  beat(c, w, 5000);
+  c.addJob(spec({ id: 'req-000003', tasks: 1, rank: 1 }), 3, 5000, false);
+  round(c, 32, 5100);
+  const stopped = () =>
+    [...c.machines.values()].flatMap((m) => [...m.bindings.values()].filter((b) => b.stop));
+  assert.equal(stopped().length, 0);
+  c.report(w.report(), true, 11_900);
+  round(c, 32, 12_000);
+  round(c, 32, 12_100);
+  assert.deepEqual(
+    stopped().map((b) => b.job.spec.id),
+    ['req-000002'],
+  );
+  beat(c, w, 12_200);
+  beat(c, w, 12_300);
+  assert.deepEqual(names(round(c, 32, 12_400)), ['req-000003']);
+});
+
+test('work of the same rank is stopped only for a guarantee, and only beyond the other’s own', () => {
+  const teams = [team({ name: 'ops', cpus: 8 }), team({ name: 'vip', cpus: 8 })];
+  const c = cluster({ teams });
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  c.addJob(spec({ id: 'req-000001', tasks: 4 }), 1, 0, false);
+  round(c, 32, 0);
+  beat(c, w, 0);
+  beat(c, w, 0);
+  c.addJob(spec({ id: 'req-000002', tasks: 1, team: 'ops' }), 2, 0, false);
+  c.addJob(spec({ id: 'req-000003', tasks: 2, team: 'vip' }), 3, 0, false);
+  c.report(w.report(), true, 19_900);
+  round(c, 32, 20_000);
+  const stopped = [...(c.machines.get('n-1')?.bindings.values() ?? [])].filter((b) => b.stop);
+  assert.equal(stopped.length, 2);
+  beat(c, w, 20_100);
+  beat(c, w, 20_200);
+  assert.deepEqual(names(round(c, 32, 20_300)), ['req-000003', 'req-000003']);
+});
+
+test('a sick machine is told from a faulty job', () => {
+  const c = cluster();
+  const sick = joined(c, new ScriptedWorker('n-1'), 0);
+  const run = (id: string, version: number, now: number) => {
+    c.addJob(spec({ id, tasks: 1 }), version, 0, false);
+    round(c, 32, now);
+    beat(c, sick, now);
+    const key = [...sick.tasks.keys()].find((k) => k.startsWith(id)) as string;
+    beat(c, sick, now);
+    sick.exit(key, 'error');
+    beat(c, sick, now);
+  };
+  run('req-000001', 1, 0);
+  assert.equal(c.machines.get('n-1')?.drain, null);
+  run('req-000002', 2, 10);
+  assert.equal(c.machines.get('n-1')?.drain, 'sick');
+
+  // One job that fails on three machines: the job waits, no machine is blamed.
+  const d = cluster();
+  const workers = ['n-1', 'n-2', 'n-3'].map((id) => joined(d, new ScriptedWorker(id), 0));
+  const job = d.addJob(spec({ id: 'req-000005', tasks: 1 }), 1, 0, false);
+  assert.ok(job);
+  for (let now = 0; job.heldUntil === 0 && now < 100_000; now += 1000) {
+    round(d, 32, now);
+    for (const w of workers) {
+      beat(d, w, now);
+      for (const key of w.tasks.keys()) w.exit(key, 'error');
+      beat(d, w, now);
+    }
+  }
+  assert.equal(job.failedOn.size, 3);
+  assert.ok(job.heldUntil > 0);
+  assert.ok([...d.machines.values()].every((m) => m.drain === null));
+});
+
+test('an array of 100,000 tasks is placed in rounds whose batches the caller widens', () => {
+  const c = cluster();
+  joined(c, new ScriptedWorker('n-1'), 0);
+  const job = c.addJob(spec({ tasks: 100_000, cpus: 0.001, memoryGb: 0 }), 1, 0, false);
+  assert.equal(round(c, 32, 0).started.length, 32);
+  assert.equal(round(c, 12_500, 0).started.length, 12_500);
+  assert.equal(job?.ready, 100_000 - 12_532);
+});
--- /dev/null
+++ b/test/renting.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { round } from '../src/core/placement.js';
+import { Renting } from '../src/core/renting.js';
+import { beat, cluster, joined, ScriptedWorker, spec } from './support/cluster.js';
+
+const sum = (plans: { count: number }[]) => plans.reduce((n, p) => n + p.count, 0);
+
+test('unplaced work is rented for, cheapest kind first, and what boots counts', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  c.addJob(spec({ tasks: 24, estimateS: 60 }), 1, 0, false);
+  const plans = r.plan(0);
+  assert.ok(sum(plans) >= 5 && sum(plans) <= 7);
+  assert.ok(plans.every((p) => p.spot));
+  let n = 0;
+  for (const p of plans)
+    for (let i = 0; i < p.count; i++) c.machine(`n-${++n}`, p.type, p.zone, p.spot, 0, 0);
+  assert.equal(sum(r.plan(1000)), 0);
+});
+
+test('work that may not use spot machines gets ordinary ones', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  c.addJob(spec({ tasks: 8, spot: false }), 1, 0, false);
+  const plans = r.plan(0);
+  assert.ok(sum(plans) > 0);
+  assert.ok(plans.every((p) => !p.spot));
+});
+
+test('a refusal is remembered for its type, zone and kind, longer each time', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  c.addJob(spec({ tasks: 8, zone: 'a' }), 1, 0, false);
+  const [first] = r.plan(0);
+  assert.ok(first?.spot);
+  r.refused(first, 0);
+  assert.equal(r.plan(0)[0]?.spot, false);
+  const back = 40_000 * 0.3;
+  assert.equal(r.plan(back + 1)[0]?.spot, true);
+  r.refused(first, back + 1);
+  assert.equal(r.plan(2 * back + 2)[0]?.spot, false);
+  r.granted(first);
+  assert.equal(r.plan(2 * back + 2)[0]?.spot, true);
+});
+
+test('idle machines go back once nothing needs them, not at each report anew', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  for (let now = 0; now <= 24_000; now += 3000) {
+    beat(c, w, now);
+    r.plan(now);
+    assert.deepEqual(r.returns(now), []);
+  }
+  beat(c, w, 24_500);
+  r.plan(24_500);
+  assert.deepEqual(
+    r.returns(24_500).map((x) => [x.machine.id, x.why]),
+    [['n-1', 'idle']],
+  );
+});
+
+test('a stream of work that stops is soon forgotten', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  for (let now = 0; now <= 200_000; now += 5000) {
+    r.arrived(spec({ tasks: 4 }));
+    r.plan(now);
+  }
+  const usual = sum(r.plan(200_000));
+  assert.ok(usual >= 3);
+  for (let now = 200_000; now <= 260_000; now += 1000) r.plan(now);
+  assert.equal(sum(r.plan(260_000)), 0);
+});
+
+test('a machine that never boots, a sick one and a dead one are returned; a cut zone is not', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  c.machine('n-1', 'm16', 'a', false, 0, 0);
+  const dead = joined(c, new ScriptedWorker('n-2', 'a'), 150_000);
+  const alive = joined(c, new ScriptedWorker('n-3', 'a'), 150_000);
+  const cut = ['n-4', 'n-5'].map((id) => joined(c, new ScriptedWorker(id, 'b'), 150_000));
+  for (const w of [dead, alive, ...cut]) {
+    c.addJob(spec({ id: `req-${w.id.slice(2)}`, tasks: 4 }), 1, 0, false);
+    round(c, 4, 150_000);
+  }
+  for (let now = 150_000; now <= 161_000; now += 1000) beat(c, alive, now);
+  const back = () => r.returns(161_000).map((x) => [x.machine.id, x.why]);
+  assert.deepEqual(back(), [
+    ['n-1', 'no boot'],
+    ['n-2', 'silent'],
+  ]);
+  const m = c.machines.get('n-3');
+  assert.ok(m);
+  c.drain(m, 'sick');
+  assert.deepEqual(back().at(-1), ['n-3', 'sick']);
+});
--- /dev/null
+++ b/test/support/context.ts
@@ -0,0 +1,44 @@
+import { pino } from 'pino';
+import { parsePlatform, teamsOf } from '../../src/config/settings.js';
+import { timingOf } from '../../src/config/timing.js';
+import type { Context } from '../../src/duties/context.js';
+import type { FakeClock } from './clock.js';
+import { TYPE } from './cluster.js';
+import type { FakeState } from './state.js';
+
+const SETTINGS = {
+  size: 3,
+  zones: ['a', 'b'],
+  teams: [{ name: 'ops', cpus: 0, cpus_max: 0, gpus: 0, gpus_max: 0 }],
+  workers: { report_s: 3, lease_s: 20, cancel_s: 50 },
+  state: { rps: 200, write_rps: 50, value_kb: 8, txn_ops: 12 },
+  cloud: { rps: 3, list_lag_s: 5 },
+  quota: { cpu: 0.1, memory_mb: 200, max_sockets: 500 },
+  skew_ms: 5,
+};
+
+export function context(node: string, state: FakeState, clock: FakeClock): Context {
+  const platform = parsePlatform(
+    JSON.stringify({
+      node,
+      zone: 'a',
+      bind: '127.0.0.1:1',
+      peer_listen: '127.0.0.1:1',
+      peers: [],
+      external: { cloud: '127.0.0.1:1', state: '127.0.0.1:1' },
+      settings: SETTINGS,
+    }),
+    'test',
+  );
+  return {
+    node,
+    incarnation: `${node}-1`,
+    platform,
+    timing: timingOf(platform),
+    teams: teamsOf(platform),
+    state,
+    clock,
+    log: pino({ level: 'silent' }),
+    types: [TYPE],
+  };
+}
--- /dev/null
+++ b/test/support/state.ts
@@ -0,0 +1,144 @@
+import { Refused, type StateService, type Transaction } from '../../src/clients/state.js';
+import { NoAnswer } from '../../src/http/client.js';
+import type { Change, Condition, Entry, StoreEvent } from '../../src/protocol/store.js';
+import type { FakeClock } from './clock.js';
+
+type Fault = 'refuse' | 'lose request' | 'lose answer' | null;
+
+/** A state service in memory, with leases by the fake clock and faults by script. */
+export class FakeStore {
+  readonly entries = new Map<string, Entry & { lease?: number }>();
+  revision = 1;
+  private leases = new Map<number, { ttl: number; ends: number }>();
+  private lastLease = 0;
+  private log: StoreEvent[] = [];
+  private watchers: (() => void)[] = [];
+
+  constructor(readonly clock: FakeClock) {}
+
+  expire(): void {
+    for (const [id, l] of this.leases) if (l.ends <= this.clock.now()) this.end(id);
+  }
+
+  end(id: number): void {
+    if (!this.leases.delete(id)) return;
+    for (const [key, e] of this.entries) if (e.lease === id) this.change([{ op: 'delete', key }]);
+  }
+
+  grant(ttl: number): number {
+    this.leases.set(++this.lastLease, { ttl, ends: this.clock.now() + ttl });
+    return this.lastLease;
+  }
+
+  touch(id: number): boolean {
+    this.expire();
+    const l = this.leases.get(id);
+    if (!l) return false;
+    l.ends = this.clock.now() + l.ttl;
+    return true;
+  }
+
+  transact(conditions: Condition[], changes: Change[]): Transaction {
+    this.expire();
+    for (const c of changes)
+      if (c.op === 'put' && c.lease !== undefined && !this.leases.has(c.lease))
+        throw new NoAnswer('400 no such lease');
+    const failed = conditions
+      .filter((c) => (this.entries.get(c.key)?.version ?? 0) !== c.version)
+      .map((c) => c.key);
+    if (failed.length > 0) return { ok: false, revision: this.revision, failed };
+    this.change(changes);
+    return { ok: true, revision: this.revision, failed: [] };
+  }
+
+  private change(changes: Change[]): void {
+    this.revision++;
+    for (const c of changes) {
+      const version = this.revision;
+      if (c.op === 'delete') {
+        this.entries.delete(c.key);
+        this.log.push({ op: 'delete', key: c.key, version });
+      } else {
+        const value = JSON.parse(JSON.stringify(c.value));
+        const entry = { key: c.key, value, version };
+        this.entries.set(c.key, c.lease === undefined ? entry : { ...entry, lease: c.lease });
+        this.log.push({ op: 'put', key: c.key, value, version });
+      }
+    }
+    const waiting = this.watchers;
+    this.watchers = [];
+    for (const w of waiting) w();
+  }
+
+  since(prefix: string, after: number): StoreEvent[] {
+    return this.log.filter((e) => e.version > after && e.key.startsWith(prefix));
+  }
+
+  onChange(wake: () => void): void {
+    this.watchers.push(wake);
+  }
+}
+
+/** One node's way to the store. */
+export class FakeState implements StateService {
+  /** What happens to requests from now on. */
+  fault: Fault = null;
+  /** Transactions held back: applied when the test says so. */
+  late: (() => void)[] = [];
+
+  constructor(private readonly store: FakeStore) {}
+
+  private async serve<T>(work: () => T): Promise<T> {
+    if (this.fault === 'refuse') throw new Refused(100);
+    if (this.fault === 'lose request') {
+      this.late.push(() => void work());
+      throw new NoAnswer('timed out');
+    }
+    this.store.expire();
+    const result = work();
+    if (this.fault === 'lose answer') throw new NoAnswer('timed out');
+    return result;
+  }
+
+  get(key: string): Promise<Entry | null> {
+    return this.serve(() => this.store.entries.get(key) ?? null);
+  }
+
+  listPage(prefix: string) {
+    return this.serve(() => ({
+      entries: [...this.store.entries.values()]
+        .filter((e) => e.key.startsWith(prefix))
+        .sort((a, b) => (a.key < b.key ? -1 : 1)),
+      more: false,
+      revision: this.store.revision,
+    }));
+  }
+
+  transact(conditions: Condition[], changes: Change[]): Promise<Transaction> {
+    return this.serve(() => this.store.transact(conditions, changes));
+  }
+
+  grant(ttlMs: number): Promise<number> {
+    return this.serve(() => this.store.grant(ttlMs));
+  }
+
+  touch(lease: number): Promise<boolean> {
+    return this.serve(() => this.store.touch(lease));
+  }
+
+  revoke(lease: number): Promise<void> {
+    return this.serve(() => this.store.end(lease));
+  }
+
+  async watch(prefix: string, after: number, waitMs: number, signal?: AbortSignal) {
+    await this.serve(() => null);
+    const ready = () => ({
+      events: this.store.since(prefix, after),
+      revision: this.store.revision,
+    });
+    if (ready().events.length > 0) return ready();
+    const changed = new Promise<void>((resolve) => this.store.onChange(resolve));
+    await Promise.race([changed, this.store.clock.sleep(waitMs, signal)]);
+    return ready();
+  }
+}
--- /dev/null
+++ b/test/users.test.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Users } from '../src/duties/users.js';
+import { FakeClock } from './support/clock.js';
+import { context } from './support/context.js';
+import { FakeState, FakeStore } from './support/state.js';
+
+const BODY = {
+  id: 'req-000412',
+  bracket: 'work',
+  crew: 'ops',
+  form: 'array',
+  rank: 'standard',
+  hands: 2,
+  cores: 2,
+  accelerators: 0,
+  memoryGb: 4,
+  deck: 'img',
+  pullGb: 1,
+  oneZone: false,
+  scatter: false,
+  loaner: false,
+  expectedS: 10,
+  markEveryS: 0,
+  markCostS: 0,
+};
+
+function world() {
+  const clock = new FakeClock();
+  const store = new FakeStore(clock);
+  const node = () => {
+    const state = new FakeState(store);
+    const ctx = context('n-0', state, clock);
+    return { state, ctx, users: new Users(ctx, () => null) };
+  };
+  return { store, node };
+}
+
+const bytes = (fields: object = {}) => Buffer.from(JSON.stringify({ ...BODY, ...fields }));
+
+test('a job is accepted once, by any node, and known everywhere from then on', async () => {
+  const w = world();
+  const [a, b] = [w.node(), w.node()];
+  assert.deepEqual(await a.users.submit(bytes()), {
+    status: 201,
+    body: { id: 'req-000412', standing: 'queued' },
+  });
+  assert.equal((await b.users.submit(bytes())).status, 200);
+  assert.equal((await b.users.query('req-000412')).status, 200);
+  assert.equal((await b.users.query('req-000413')).status, 404);
+  assert.equal((await b.users.query('../leader')).status, 404);
+});
+
+test('a known id is answered 200 whatever else the repetition says', async () => {
+  const w = world();
+  const { users } = w.node();
+  await users.submit(bytes());
+  for (const fields of [{ crew: 'nobody' }, { cores: -1 }, { cores: 1e6 }, { form: 'odd' }])
+    assert.equal((await users.submit(bytes(fields))).status, 200);
+  const other = { id: 'req-000500' };
+  assert.equal((await users.submit(bytes({ ...other, cores: -1 }))).status, 400);
+  assert.equal((await users.submit(bytes({ ...other, crew: 'nobody' }))).status, 422);
+  assert.equal((await users.submit(Buffer.from('{'))).status, 400);
+  assert.equal((await users.submit(bytes({ id: 7 }))).status, 400);
+});
+
+test('without the machine types a new job is put off, a known one is not', async () => {
+  const w = world();
+  const { users, ctx } = w.node();
+  await users.submit(bytes());
+  ctx.types = null;
+  assert.equal((await users.submit(bytes())).status, 200);
+  const reply = await users.submit(bytes({ id: 'req-000500' }));
+  assert.deepEqual([reply.status, reply.retryAfterS], [503, 1]);
+});
+
+test('cancelled and done never turn into each other, nor into queued', async () => {
+  const w = world();
+  const { users } = w.node();
+  await users.submit(bytes());
+  assert.deepEqual((await users.withdraw('req-000412')).body, {
+    id: 'req-000412',
+    standing: 'cancelled',
+  });
+  for (let i = 0; i < 2; i++) {
+    assert.deepEqual((await users.submit(bytes())).body, {
+      id: 'req-000412',
+      standing: 'cancelled',
+    });
+    assert.equal((await users.withdraw('req-000412')).status, 200);
+  }
+  assert.equal(w.store.entries.has('live/req-000412'), false);
+  assert.equal((await users.withdraw('req-000999')).status, 404);
+
+  await users.submit(bytes({ id: 'req-000600' }));
+  w.store.transact(
+    [],
+    [
+      { op: 'put', key: 'over/req-000600', value: { state: 'done', tasks: 2 } },
+      { op: 'delete', key: 'live/req-000600' },
+    ],
+  );
+  assert.deepEqual((await users.withdraw('req-000600')).body, {
+    id: 'req-000600',
+    standing: 'done',
+  });
+  assert.deepEqual((await users.query('req-000600')).body, {
+    id: 'req-000600',
+    standing: 'done',
+    done: 2,
+    running: 0,
+  });
+});
+
+test('a submission whose answer was lost is not run twice, also when it arrives late', async () => {
+  const w = world();
+  const { users, state } = w.node();
+  state.fault = 'lose request';
+  assert.equal((await users.submit(bytes())).status, 503);
+  state.fault = null;
+  assert.equal((await users.submit(bytes())).status, 201);
+  await users.withdraw('req-000412');
+  for (const late of state.late) late();
+  assert.deepEqual((await users.query('req-000412')).body, {
+    id: 'req-000412',
+    standing: 'cancelled',
+    done: 0,
+    running: 0,
+  });
+});
+
+test('an outage is answered at once with a time to come back', async () => {
+  const { users, state } = world().node();
+  state.fault = 'refuse';
+  for (const reply of [
+    await users.submit(bytes()),
+    await users.query('req-000412'),
+    await users.withdraw('req-000412'),
+  ])
+    assert.deepEqual([reply.status, reply.retryAfterS], [503, 1]);
+});
--- /dev/null
+++ b/test/wire.test.ts
@@ -0,0 +1,132 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { neverRuns } from '../src/core/model.js';
+import {
+  Malformed,
+  parseMachineList,
+  parseReport,
+  parseSubmission,
+  reportAnswer,
+} from '../src/protocol/wire.js';
+import { TYPE, team } from './support/cluster.js';
+
+const SUBMISSION = {
+  id: 'req-000412',
+  bracket: 'train',
+  crew: 'ops',
+  form: 'array',
+  rank: 'urgent',
+  hands: 16,
+  cores: 8,
+  accelerators: 0,
+  memoryGb: 64,
+  deck: 'img-07',
+  pullGb: 6.2,
+  rigs: ['m16'],
+  hall: null,
+  oneZone: true,
+  scatter: false,
+  loaner: true,
+  expectedS: 240,
+  markEveryS: 30,
+  markCostS: 4,
+  dueS: 900,
+  later: 'ignored',
+};
+
+test('a submission is taken with every field, and nullable ones may be left out', () => {
+  const spec = parseSubmission(SUBMISSION);
+  assert.equal(spec.rank, 1);
+  assert.deepEqual(spec.types, ['m16']);
+  const { rigs: _r, hall: _h, dueS: _d, ...short } = SUBMISSION;
+  const other = parseSubmission(short);
+  assert.deepEqual([other.types, other.zone, other.deadlineS], [null, null, null]);
+});
+
+test('a malformed submission is refused, whatever is wrong with it', () => {
+  const wrong: Record<string, unknown> = {
+    id: 'job-1',
+    bracket: 7,
+    crew: '',
+    form: 'group',
+    rank: 'high',
+    hands: 100_001,
+    cores: -1,
+    accelerators: '1',
+    memoryGb: 1e12,
+    deck: null,
+    pullGb: Number.NaN,
+    rigs: ['a', 3],
+    hall: 5,
+    oneZone: 'yes',
+    scatter: null,
+    loaner: 0,
+    expectedS: null,
+    markEveryS: -0.5,
+    markCostS: {},
+    dueS: 'soon',
+  };
+  for (const [field, value] of Object.entries(wrong))
+    assert.throws(() => parseSubmission({ ...SUBMISSION, [field]: value }), Malformed, field);
+  for (const hands of [0, 1.5, -3, '4'])
+    assert.throws(() => parseSubmission({ ...SUBMISSION, hands }), Malformed);
+  for (const body of [null, [], 'x', 3]) assert.throws(() => parseSubmission(body), Malformed);
+});
+
+test('what can never run is told from what can', () => {
+  const teams = new Map([['ops', team({ name: 'ops', cpusMax: 10 })]]);
+  const job = parseSubmission({ ...SUBMISSION, memoryGb: 8 });
+  assert.equal(neverRuns(job, teams, [TYPE]), null);
+  assert.match(neverRuns({ ...job, team: 'no' }, teams, [TYPE]) ?? '', /team/);
+  assert.match(neverRuns({ ...job, cpus: 17 }, teams, [TYPE]) ?? '', /fits no/);
+  assert.match(neverRuns({ ...job, types: ['m99'] }, teams, [TYPE]) ?? '', /fits no/);
+  assert.match(neverRuns({ ...job, zone: 'z' }, teams, [TYPE]) ?? '', /fits no/);
+  assert.match(neverRuns({ ...job, cpus: 11 }, teams, [TYPE]) ?? '', /limit/);
+});
+
+test('reports and orders carry the wire’s own words', () => {
+  const report = parseReport({
+    cart: 'n-000231',
+    endpoint: '10.1.0.232:9000',
+    rig: 'm16',
+    hall: 'a',
+    loaner: true,
+    shift: 1,
+    tally: 88,
+    baton: 41,
+    recallS: null,
+    hands: [
+      { hand: 'req-000412/3', try: 2, standing: 'pulling' },
+      { hand: 'req-000398/0', try: 1, standing: 'exited', cause: 'halted', kept: true },
+    ],
+  });
+  assert.deepEqual(
+    report.tasks.map((t) => [t.job, t.index, t.state, t.cause, t.saved]),
+    [
+      ['req-000412', 3, 'fetching', null, false],
+      ['req-000398', 0, 'exited', 'stopped', true],
+    ],
+  );
+  assert.deepEqual(
+    reportAnswer(41, [
+      { op: 'start', job: 'req-1', index: 4, attempt: 2 },
+      { op: 'stop', job: 'req-1', index: 1, attempt: 1, graceS: 10 },
+      { op: 'forget', job: 'req-1', index: 0, attempt: 1 },
+    ]),
+    {
+      baton: 41,
+      orders: [
+        { verb: 'run', hand: 'req-1/4', try: 2 },
+        { verb: 'kill', hand: 'req-1/1', try: 1, windDownS: 10 },
+        { verb: 'forget', hand: 'req-1/0', try: 1 },
+      ],
+    },
+  );
+});
+
+test('malformed reports and lists are refused, not believed', () => {
+  for (const body of [null, {}, { cart: 'n-1', hands: 'x' }, { carts: [{ id: 'n-1' }] }])
+    assert.throws(() => parseReport(body), Malformed);
+  for (const body of [null, {}, { carts: [{ id: 'n-1', standing: 'odd' }] }, { carts: [7] }])
+    assert.throws(() => parseMachineList(body), Malformed);
+});
