--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,4 +1,5 @@
 import { randomBytes } from 'node:crypto';
+import { setMaxListeners } from 'node:events';
 import { readFileSync } from 'node:fs';
 import { Command } from 'commander';
 import { pino } from 'pino';
@@ -31,6 +32,8 @@
     pino.destination({ dest: 2, sync: true }),
   );
   const stop = new AbortController();
+  // Every connection and duty listens to it.
+  setMaxListeners(0, stop.signal);
   for (const name of ['SIGTERM', 'SIGINT'] as const)
     process.once(name, () => {
       log.info({ signal: name }, 'stopping');
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -38,9 +38,20 @@
   machineStarts: number;
 }
 
-/** A class's aim on starting, from the settings' objectives. */
-export interface ClassAim {
-  waitS: number | null;
+/** A class's aims, from the settings' objectives. */
+export interface ClassAims {
+  /** Tasks should start within each of these. */
+  waits: number[];
+  /** Jobs should be done within each of these. */
+  finishes: number[];
+  /** Jobs should be done within each of these multiples of their deadline. */
+  deadlines: number[];
+}
+
+export interface Aims {
+  classes: Map<string, ClassAims>;
+  /** Work within its team's guarantee should start within this. */
+  guaranteeS: number | null;
 }
 
 export interface Use {
@@ -85,7 +96,7 @@
     readonly teams: Map<string, Team>,
     readonly timing: CoreTiming,
     readonly policy: CorePolicy,
-    readonly aims: Map<string, ClassAim>,
+    readonly aims: Aims,
     readonly tasksPerChunk: number,
     readonly note: Note,
   ) {}
@@ -130,6 +141,12 @@
     return now + this.wallOffset - job.acceptedAt;
   }
 
+  /** The shortest wait that the class's aims allow; null when none of them is about waiting. */
+  waitAimS(jobClass: string): number | null {
+    const waits = this.aims.classes.get(jobClass)?.waits ?? [];
+    return waits.length > 0 ? Math.min(...waits) : null;
+  }
+
   estimateS(spec: JobSpec): number {
     return Math.max(0.5, spec.estimateS * (this.ratios.get(spec.jobClass) ?? 1));
   }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -3,6 +3,10 @@
 import type { Binding, Machine } from './machine.js';
 import { EPSILON, type JobSpec } from './model.js';
 
+/** A part of the aim on waiting, or on guarantees, that passes before others are stopped. */
+const RANK_PATIENCE = 0.2;
+const GUARANTEE_PATIENCE = 0.6;
+
 /** Ready tasks of like image and request, in order of arrival. */
 interface Batch {
   spec: JobSpec;
@@ -131,7 +135,7 @@
   let dearest = 0;
   for (const t of cluster.types.values()) dearest = Math.max(dearest, t.price, t.spotPrice);
   let unplaced = 0;
-  const promised = new Map<Machine, { cpus: number; gpus: number; memoryGb: number }>();
+  const promised = new Map<Machine, Room>();
   for (const batch of batches) {
     let left = batch.count;
     const candidates = openMachines.filter((m) => allowed(m, batch.spec));
@@ -203,87 +207,119 @@
   return n;
 }
 
-/** How long a batch waits for room before others are stopped for it: a part of what its class may wait. */
-function patienceMs(cluster: Cluster, spec: JobSpec): number {
-  const aim = cluster.aims.get(spec.jobClass)?.waitS;
-  return aim !== undefined && aim !== null ? aim * 1000 * 0.2 : cluster.timing.reportMs * 2;
+/**
+ * How long a batch waits for room before others are stopped for it: a part of
+ * what its aims allow. Work of its own rank, which only a guarantee may stop,
+ * is given longer: most room comes free by itself.
+ */
+function patienceMs(cluster: Cluster, spec: JobSpec, sameRank: boolean): number {
+  if (sameRank && cluster.aims.guaranteeS !== null)
+    return cluster.aims.guaranteeS * 1000 * GUARANTEE_PATIENCE;
+  const aim = cluster.waitAimS(spec.jobClass);
+  return aim !== null ? aim * 1000 * RANK_PATIENCE : cluster.timing.reportMs * 2;
+}
+
+interface Room {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+function covers(room: Room, spec: JobSpec): boolean {
+  return (
+    room.cpus + EPSILON >= spec.cpus &&
+    room.gpus + EPSILON >= spec.gpus &&
+    room.memoryGb + EPSILON >= spec.memoryGb
+  );
+}
+
+function addRoom(room: Room, spec: JobSpec, sign: number): void {
+  room.cpus += sign * spec.cpus;
+  room.gpus += sign * spec.gpus;
+  room.memoryGb += sign * spec.memoryGb;
 }
 
 /**
  * Makes room for a batch that found none: work of lower rank is stopped, or,
  * for a team within its guarantee, what another team runs beyond its own.
- * Room that is already being made is counted first.
+ * Room that is already being made is counted first, then machines where the
+ * least is lost come first.
  */
 function preempt(
   cluster: Cluster,
   batch: Batch,
   left: number,
   machines: Machine[],
-  promised: Map<Machine, { cpus: number; gpus: number; memoryGb: number }>,
+  promised: Map<Machine, Room>,
   now: number,
 ): void {
   const { spec } = batch;
-  const wallAge = batch.jobs[0] ? cluster.ageMs(batch.jobs[0], now) : 0;
-  if (wallAge < patienceMs(cluster, spec)) return;
+  const age = batch.jobs[0] ? cluster.ageMs(batch.jobs[0], now) : 0;
+  const lower = age >= patienceMs(cluster, spec, false);
+  const same = batch.guaranteed && age >= patienceMs(cluster, spec, true);
+  if (!lower && !same) return;
   let need = left;
+  const offers: { m: Machine; free: Room; victims: { b: Binding; loss: number }[] }[] = [];
   for (const m of machines) {
-    if (need <= 0) return;
-    if (!allowed(m, spec) || !m.type) continue;
-    const p = promised.get(m) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
-    promised.set(m, p);
-    const room = () => ({
-      cpus: (m.type?.cpus ?? 0) - m.cpus - p.cpus,
-      gpus: (m.type?.gpus ?? 0) - m.gpus - p.gpus,
-      memoryGb: (m.type?.memoryGb ?? 0) - m.memoryGb - p.memoryGb,
-    });
-    const free = room();
+    const t = m.type;
+    if (!t || !allowed(m, spec)) continue;
+    const taken = promised.get(m) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+    promised.set(m, taken);
+    const free = {
+      cpus: t.cpus - m.cpus - taken.cpus,
+      gpus: t.gpus - m.gpus - taken.gpus,
+      memoryGb: t.memoryGb - m.memoryGb - taken.memoryGb,
+    };
     const victims: { b: Binding; loss: number }[] = [];
     for (const b of m.bindings.values()) {
       if (b.state === 'exited' || b.state === 'assigned') continue;
-      if (b.stop) {
-        free.cpus += b.job.spec.cpus;
-        free.gpus += b.job.spec.gpus;
-        free.memoryGb += b.job.spec.memoryGb;
-      } else if (mayStop(cluster, batch, b)) victims.push({ b, loss: lossS(b, now) });
+      if (b.stop) addRoom(free, b.job.spec, 1);
+      else if (mayStop(cluster, batch, b, lower, same))
+        victims.push({ b, loss: lossS(b, now) * Math.max(b.job.spec.cpus, EPSILON) });
+    }
+    while (need > 0 && covers(free, spec)) {
+      need--;
+      addRoom(free, spec, -1);
+      addRoom(taken, spec, 1);
     }
+    if (victims.length === 0) continue;
     victims.sort((a, b) => a.loss - b.loss);
-    for (;;) {
-      while (
-        need > 0 &&
-        free.cpus + EPSILON >= spec.cpus &&
-        free.gpus + EPSILON >= spec.gpus &&
-        free.memoryGb + EPSILON >= spec.memoryGb
-      ) {
-        need--;
-        free.cpus -= spec.cpus;
-        free.gpus -= spec.gpus;
-        free.memoryGb -= spec.memoryGb;
-        p.cpus += spec.cpus;
-        p.gpus += spec.gpus;
-        p.memoryGb += spec.memoryGb;
-      }
-      const victim = victims.shift();
-      if (need <= 0 || !victim) break;
-      const s = victim.b.job.spec;
-      cluster.stop(victim.b, s.checkpointS > 0 ? s.saveS : 0);
-      free.cpus += s.cpus;
-      free.gpus += s.gpus;
-      free.memoryGb += s.memoryGb;
+    offers.push({ m, free, victims });
+  }
+  offers.sort((a, b) => (a.victims[0]?.loss ?? 0) - (b.victims[0]?.loss ?? 0));
+  for (const { m, free, victims } of offers) {
+    for (const { b, loss } of victims) {
+      if (need <= 0) return;
+      const s = b.job.spec;
+      cluster.stop(b, s.checkpointS > 0 ? s.saveS : 0);
+      addRoom(free, s, 1);
       cluster.note('preempted', {
         job: s.id,
-        task: victim.b.index,
+        task: b.index,
         machine: m.id,
         for: batch.jobs[0]?.spec.id,
-        lossS: Math.round(victim.loss),
+        lostCpuSeconds: Math.round(loss),
       });
+      const taken = promised.get(m);
+      while (need > 0 && covers(free, spec)) {
+        need--;
+        addRoom(free, spec, -1);
+        if (taken) addRoom(taken, spec, 1);
+      }
     }
   }
 }
 
-function mayStop(cluster: Cluster, batch: Batch, b: Binding): boolean {
+function mayStop(
+  cluster: Cluster,
+  batch: Batch,
+  b: Binding,
+  lower: boolean,
+  same: boolean,
+): boolean {
   const { spec } = b.job;
-  if (spec.rank > batch.spec.rank) return true;
-  if (!batch.guaranteed || spec.team === batch.spec.team || b.job.guaranteed) return false;
+  if (spec.rank > batch.spec.rank) return lower;
+  if (!same || spec.team === batch.spec.team || b.job.guaranteed) return false;
   const team = cluster.teams.get(spec.team);
   const use = cluster.teamUse.get(spec.team);
   return (
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -230,8 +230,7 @@
 
   /** How many standard deviations of room the class's aims are worth. */
   private spreads(spec: JobSpec): number {
-    const aim = this.cluster.aims.get(spec.jobClass);
-    const waits = (aim?.waitS ?? null) !== null;
+    const waits = this.cluster.waitAimS(spec.jobClass) !== null;
     return waits ? this.cluster.policy.waitSpread : this.cluster.policy.spread;
   }
 
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -5,7 +5,8 @@
 import { Refused } from '../clients/state.js';
 import { WorkerClient } from '../clients/worker.js';
 import type { Policy } from '../config/policy.js';
-import { type ClassAim, Cluster, type CorePolicy } from '../core/cluster.js';
+import type { Platform } from '../config/settings.js';
+import { type Aims, Cluster, type CorePolicy } from '../core/cluster.js';
 import { flushUnits, type Unit } from '../core/flush.js';
 import type { Binding, Machine } from '../core/machine.js';
 import type { ListedMachine, MachineReport, Order } from '../core/model.js';
@@ -53,6 +54,20 @@
 /** Machines confirmed at the same time after a takeover. */
 const CONFIRM_LANES = 8;
 
+export function aimsOf(objectives: Platform['settings']['objectives']): Aims {
+  const aims: Aims = { classes: new Map(), guaranteeS: null };
+  for (const o of objectives ?? []) {
+    if (o.kind === 'guarantee') aims.guaranteeS = o.within_s ?? null;
+    if (!o.class) continue;
+    const c = aims.classes.get(o.class) ?? { waits: [], finishes: [], deadlines: [] };
+    aims.classes.set(o.class, c);
+    if (o.kind === 'wait' && o.within_s) c.waits.push(o.within_s);
+    else if (o.kind === 'finished' && o.within_s) c.finishes.push(o.within_s);
+    else if (o.kind === 'deadline') c.deadlines.push(o.times ?? 1);
+  }
+  return aims;
+}
+
 /** The duties of one term: takeover, watch, rounds, durable progress, cloud. */
 export class Leader {
   readonly cluster: Cluster;
@@ -72,12 +87,6 @@
     private readonly policy: CorePolicy,
   ) {
     const { workers, state, objectives } = ctx.platform.settings;
-    const aims = new Map<string, ClassAim>();
-    for (const o of objectives ?? []) {
-      if (o.kind !== 'wait' || !o.class) continue;
-      const old = aims.get(o.class)?.waitS ?? Number.POSITIVE_INFINITY;
-      aims.set(o.class, { waitS: Math.min(old, o.within_s ?? old) });
-    }
     this.cluster = new Cluster(
       term.term,
       ctx.teams,
@@ -89,7 +98,7 @@
         lapseMs: ctx.timing.lapseMs,
       },
       policy,
-      aims,
+      aimsOf(objectives ?? []),
       // Half the value limit: base64 adds a third, and the frame a little.
       Math.max(1, Math.floor(state.value_kb * 1024 * 0.5)) * 8,
       (message, fields) => ctx.log.info({ term: term.term, ...fields }, message),
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -52,7 +52,7 @@
       faultyMachines: 3,
       machineStarts: 32,
     },
-    new Map(),
+    { classes: new Map(), guaranteeS: null },
     64,
     () => {},
   );
