--- a/src/duties/peers.ts
+++ b/src/duties/peers.ts
@@ -52,20 +52,28 @@
     await Promise.all([this.net.run(signal), this.tell(signal)]);
   }
 
-  connected(node: string): boolean {
+  private connected(node: string): boolean {
     return this.net.connected(node);
   }
 
+  /** The peer's status comes through, so it can be reached from here. */
+  hears(node: string): boolean {
+    const h = this.heard.get(node);
+    return h !== undefined && this.fresh(h) && this.connected(node);
+  }
+
+  private fresh(h: Heard): boolean {
+    return this.ctx.clock.now() - h.at < this.ctx.timing.renewMs * 2.5;
+  }
+
   countsOf(job: string): { done: number; running: number } | null {
     return this.counts.get(job) ?? null;
   }
 
   /** A connected peer that the state service serves, as far as its last status tells. */
   served(): string | null {
-    const now = this.ctx.clock.now();
     for (const [node, h] of this.heard)
-      if (h.status.stateOk && now - h.at < this.ctx.timing.renewMs * 2.5 && this.connected(node))
-        return node;
+      if (h.status.stateOk && this.fresh(h) && this.connected(node)) return node;
     return null;
   }
 
--- a/src/duties/reports.ts
+++ b/src/duties/reports.ts
@@ -9,8 +9,9 @@
 import type { Peers } from './peers.js';
 
 interface Guest {
-  /** When it was last sent to the leader. */
-  sentAt: number;
+  /** The leader that it was told of. */
+  leader: string;
+  seenAt: number;
   /** When it came back and was served here. */
   servedSince: number | null;
   /** When this node first answered it without the leader. */
@@ -51,25 +52,22 @@
     if (leader === null || leader === ctx.node) return { status: 421, body: notLeaderAnswer(null) };
     const now = ctx.clock.now();
     this.sweep(now);
-    const { reportMs } = this;
-    const guest = this.guests.get(report.machine);
-    const returned = guest !== undefined && now - guest.sentAt < reportMs * 4;
-    const settled =
-      guest?.servedSince !== null &&
-      guest !== undefined &&
-      now - guest.servedSince > ctx.timing.workerLeaseMs;
-    if (!returned || settled) {
-      // Also now and then for one that is served here: the cut may be over.
-      this.guests.set(report.machine, {
-        sentAt: now,
-        servedSince: null,
-        deputySince: guest?.deputySince ?? null,
-      });
+    const reachable = this.peers.hears(leader);
+    let guest = this.guests.get(report.machine);
+    if (!guest || guest.leader !== leader) {
+      guest = { leader, seenAt: Number.NEGATIVE_INFINITY, servedSince: null, deputySince: null };
+      this.guests.set(report.machine, guest);
+    }
+    const returned = now - guest.seenAt < this.reportMs * 4;
+    guest.seenAt = now;
+    // Now and then one that is served here is sent on all the same: the cut may be over.
+    const long = guest.servedSince !== null && now - guest.servedSince > ctx.timing.workerLeaseMs;
+    if (reachable && (!returned || long)) {
+      guest.servedSince = null;
       return { status: 421, body: notLeaderAnswer(leader) };
     }
     guest.servedSince ??= now;
-    guest.sentAt = now;
-    if (this.peers.connected(leader)) {
+    if (reachable) {
       try {
         const reply = await this.peers.passReport(leader, body);
         guest.deputySince = null;
@@ -78,6 +76,7 @@
         ctx.log.debug({ error: String((error as Error).message) }, 'report not passed on');
       }
     }
+    // The worker would wait in vain at a leader that is silent here too: it is kept without a detour.
     return this.stand(report, guest);
   }
 
@@ -105,7 +104,7 @@
     const { ctx, leadership } = this;
     const term = leadership.knownTerm;
     const away = { status: 421, body: notLeaderAnswer(null) };
-    if (term === null || report.token !== term) return away;
+    if (term === null || report.token > term) return away;
     const now = ctx.clock.now();
     if (guest.deputySince === null) {
       guest.deputySince = now;
@@ -133,6 +132,6 @@
     const keep = this.ctx.timing.workerLeaseMs * GUEST_LEASES;
     if (now - this.sweptAt < keep) return;
     this.sweptAt = now;
-    for (const [id, g] of this.guests) if (now - g.sentAt > keep) this.guests.delete(id);
+    for (const [id, g] of this.guests) if (now - g.seenAt > keep) this.guests.delete(id);
   }
 }
