Under overload, jobs that can still meet their aims pass those that missed them

Strict arrival makes everybody late once more is asked than can be done; the settings' objectives say who still can be in time. Rank and guarantee still come first.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -147,6 +147,21 @@
     return waits.length > 0 ? Math.min(...waits) : null;
   }
 
+  /** How many of its class's aims the job has missed or can't meet any more. */
+  missedAims(job: Job, now: number): number {
+    const { spec } = job;
+    const aims = this.aims.classes.get(spec.jobClass);
+    if (!aims) return 0;
+    const age = this.ageMs(job, now) / 1000;
+    const end = age + this.estimateS(spec);
+    let missed = 0;
+    for (const s of aims.waits) if (age > s) missed++;
+    for (const s of aims.finishes) if (end > s) missed++;
+    if (spec.deadlineS !== null)
+      for (const times of aims.deadlines) if (end > spec.deadlineS * times) missed++;
+    return missed;
+  }
+
   estimateS(spec: JobSpec): number {
     return Math.max(0.5, spec.estimateS * (this.ratios.get(spec.jobClass) ?? 1));
   }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -11,6 +11,7 @@
 interface Batch {
   spec: JobSpec;
   guaranteed: boolean;
+  missed: number;
   jobs: Job[];
   count: number;
 }
@@ -41,12 +42,17 @@
   }
 }
 
-function likeKey(job: Job): string {
+function likeKey(job: Job, missed: number): string {
   const s = job.spec;
-  return `${s.rank}|${job.guaranteed}|${s.team}|${s.image}|${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types}|${s.zone}|${s.spot}|${s.oneZone || s.spread ? s.id : ''}`;
+  return `${missed}|${s.rank}|${job.guaranteed}|${s.team}|${s.image}|${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types}|${s.zone}|${s.spot}|${s.oneZone || s.spread ? s.id : ''}`;
 }
 
-/** One pooled ready list: rank first, then work within its team's guarantee, then arrival. */
+/**
+ * One pooled ready list: rank first, then work within its team's guarantee,
+ * then arrival. When more is asked than can be done, strict arrival would make
+ * everybody late: a job that has missed aims lets those pass that can still
+ * meet theirs.
+ */
 export function readyBatches(cluster: Cluster, now: number): Batch[] {
   const inheritedLeft = cluster.inheritedLeft > 0;
   const byArrival = [...cluster.jobs.values()].sort((a, b) => a.version - b.version);
@@ -54,7 +60,8 @@
   const batches = new Map<string, Batch>();
   for (const job of byArrival) {
     if (!isReady(job, inheritedLeft, now)) continue;
-    const key = likeKey(job);
+    const missed = cluster.missedAims(job, now);
+    const key = likeKey(job, missed);
     const batch = batches.get(key);
     if (batch) {
       batch.jobs.push(job);
@@ -63,14 +70,18 @@
       batches.set(key, {
         spec: job.spec,
         guaranteed: job.guaranteed,
+        missed,
         jobs: [job],
         count: job.ready,
       });
     }
   }
-  // The sort is stable: within a rank and a guarantee, arrival stays.
+  // The sort is stable: beyond this, arrival stays.
   return [...batches.values()].sort(
-    (a, b) => a.spec.rank - b.spec.rank || Number(b.guaranteed) - Number(a.guaranteed),
+    (a, b) =>
+      a.spec.rank - b.spec.rank ||
+      Number(b.guaranteed) - Number(a.guaranteed) ||
+      a.missed - b.missed,
   );
 }
 
