--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -85,6 +85,8 @@
   private readonly ratios = new Map<string, number>();
   /** Something happened that may let a task be placed. */
   stirred = true;
+  /** By zone: when it was last heard, and since when without a gap in which all of it was silent. */
+  readonly heard = new Map<string, { last: number; since: number }>();
   /** Machines with orders that have not left. */
   readonly toTell = new Set<Machine>();
   /** Time of day less steady time, for ages of jobs. */
@@ -360,6 +362,7 @@
     m.address = r.address;
     m.knownAt = now;
     m.lastReport = now;
+    this.hear(m.zone, now);
     if (m.upAt === null) {
       m.upAt = now;
       m.idleSince = now;
@@ -382,6 +385,13 @@
     return true;
   }
 
+  private hear(zone: string, now: number): void {
+    const h = this.heard.get(zone);
+    if (!h || now - h.last > this.timing.reportMs * 1.5)
+      this.heard.set(zone, { last: now, since: now });
+    else h.last = now;
+  }
+
   private reconcile(m: Machine, r: MachineReport, beat: boolean, now: number): void {
     const listed = new Set<string>();
     const strays: TaskReport[] = [];
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -353,7 +353,7 @@
       }
       const silent = now - m.lastReport;
       if (silent > cluster.timing.silentMs) {
-        if (silent > this.silencePatience(m)) out.push({ machine: m, why: 'silent' });
+        if (this.deadLongEnough(m, now)) out.push({ machine: m, why: 'silent' });
         continue;
       }
       if (m.drain === 'sick') out.push({ machine: m, why: 'sick' });
@@ -370,17 +370,20 @@
   }
 
   /**
-   * A silent machine is fenced by returning it, once other machines of its
-   * zone have been heard since. When nobody of the zone was, a cut is likelier
-   * than a death: its tasks may live on and it may come back, so it is given
-   * as long as a new one would take.
+   * A silent machine is fenced by returning it while the rest of its zone is
+   * heard. When all of the zone is silent, a cut is likelier than a death: its
+   * tasks may live on and it may come back, so it is given as long as a new
+   * one would take. When the zone is heard again after a cut, its workers find
+   * their way back one after the other.
    */
-  private silencePatience(m: Machine): number {
+  private deadLongEnough(m: Machine, now: number): boolean {
     const { reportMs, silentMs, workerLeaseMs } = this.cluster.timing;
-    for (const o of this.cluster.machines.values())
-      if (o !== m && o.zone === m.zone && o.lastReport > m.lastReport + reportMs * 1.5)
-        return silentMs;
-    return Math.max(workerLeaseMs * 2, (m.type?.bootS ?? 0) * 1000 + workerLeaseMs);
+    const silent = now - m.lastReport;
+    if (silent <= silentMs) return false;
+    const zone = this.cluster.heard.get(m.zone);
+    if (zone && zone.last > m.lastReport + reportMs * 1.5 && now - zone.last <= reportMs * 1.5)
+      return zone.since <= m.lastReport || now - zone.since > silentMs * 1.5;
+    return silent > Math.max(workerLeaseMs * 2, (m.type?.bootS ?? 0) * 1000 + workerLeaseMs);
   }
 }
 
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -96,3 +96,20 @@
   c.drain(m, 'sick');
   assert.deepEqual(back().at(-1), ['n-3', 'sick']);
 });
+
+test('after a cut the machines of a zone are given time to find their way back', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  const first = joined(c, new ScriptedWorker('n-1'), 0);
+  joined(c, new ScriptedWorker('n-2'), 0);
+  // Nobody of the zone is heard for half a minute, then one is.
+  for (let now = 30_000; now <= 42_000; now += 1000) {
+    beat(c, first, now);
+    assert.deepEqual(r.returns(now), []);
+  }
+  for (let now = 43_000; now <= 45_000; now += 1000) beat(c, first, now);
+  assert.deepEqual(
+    r.returns(45_000).map((x) => [x.machine.id, x.why]),
+    [['n-2', 'silent']],
+  );
+});
