--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -360,8 +360,8 @@
     }
     m.seq = r.seq;
     m.address = r.address;
-    m.knownAt = now;
     m.lastReport = now;
+    m.missing = false;
     this.hear(m.zone, now);
     if (m.upAt === null) {
       m.upAt = now;
@@ -613,8 +613,7 @@
       if (!this.machines.has(l.id))
         this.note('unexpected machine adopted', { machine: l.id, type: l.type, zone: l.zone });
       const m = this.machine(l.id, l.type, l.zone, l.spot, l.ageS, now);
-      m.listed = true;
-      m.knownAt = Math.max(m.knownAt, askedAt);
+      m.missing = false;
       if (l.address) m.address = l.address;
       if (l.state === 'running' && m.upAt === null) {
         m.upAt = now;
@@ -622,9 +621,13 @@
         m.idleSince = now;
       }
     }
-    for (const m of [...this.machines.values()])
-      if (!seen.has(m.id) && askedAt > m.knownAt + this.timing.listProofMs)
+    for (const m of [...this.machines.values()]) {
+      if (seen.has(m.id) || m.lastReport >= askedAt) continue;
+      // What is listed stays listed until it is gone, and by now this one would have been listed.
+      if (askedAt > m.knownAt + this.timing.listProofMs)
         this.machineGone(m.id, 'absent from the list');
+      else if (m.rostered) m.missing = true;
+    }
   }
 }
 
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -26,7 +26,7 @@
   settled: boolean;
 }
 
-export type Drain = 'notice' | 'sick' | 'idle' | 'no boot' | 'silent' | 'failed' | 'surplus';
+export type Drain = 'notice' | 'sick' | 'idle' | 'no boot' | 'silent' | 'missing';
 
 export function bindingKey(job: string, index: number, attempt: number): string {
   return `${job}/${index}/${attempt}`;
@@ -50,11 +50,12 @@
   inherited = false;
   /** It lists tasks of jobs that are not known: what they use is in doubt. */
   strays = false;
-  /** Last time at which the machine was known to exist. */
-  knownAt: number;
+  /** When the machine was first known to exist, by this leader. */
+  readonly knownAt: number;
+  /** It has been up, is silent and stands in no list: gone most likely, and returned to make sure. */
+  missing = false;
   lastReport = 0;
   upAt: number | null = null;
-  listed = false;
   noticeUntil: number | null = null;
   drain: Drain | null = null;
   idleSince: number;
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -351,6 +351,10 @@
           out.push({ machine: m, why: 'no boot' });
         continue;
       }
+      if (m.missing) {
+        out.push({ machine: m, why: 'missing' });
+        continue;
+      }
       const silent = now - m.lastReport;
       if (silent > cluster.timing.silentMs) {
         if (this.deadLongEnough(m, now)) out.push({ machine: m, why: 'silent' });
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -267,6 +267,8 @@
   c.listed([], 10_000, 10_200);
   assert.ok(c.machines.has('n-1'));
   assert.equal(job?.ready, 0);
+  // It was up before: the cloud is asked to take it back, which is proof.
+  assert.equal(c.machines.get('n-1')?.missing, true);
   c.listed([], 1100 + c.timing.listProofMs + 1, 40_000);
   assert.equal(c.machines.has('n-1'), false);
   assert.equal(job?.ready, 1);
