Bound how long cut-off workers are kept; act on spot notices; late boots are no supply

A follower counts from when the leader fell silent, so that several nodes can't add up their times; what a notice will interrupt is saved or moved at once; a machine at twice its boot time is replaced in the plan.

--- a/src/clients/worker.ts
+++ b/src/clients/worker.ts
@@ -40,10 +40,13 @@
     return { executed: answer.status === 200, report: parseReport(answer.body) };
   }
 
-  /** The machine is gone. */
-  drop(address: string): void {
-    this.clients.get(address)?.close();
-    this.clients.delete(address);
+  /** Closes the connections to all but these. */
+  keep(addresses: Set<string>): void {
+    for (const [address, client] of this.clients)
+      if (!addresses.has(address)) {
+        client.close();
+        this.clients.delete(address);
+      }
   }
 
   close(): void {
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -64,6 +64,8 @@
 /** Keeps an answer's one line well below the protocol's 64 KiB. */
 const ORDERS_PER_ANSWER = 250;
 const TOMBSTONES = 2000;
+/** A task expected to need this many times the notice is not worth the hope. */
+const HOPELESS = 2;
 
 /**
  * The leader's picture of one term: made anew at each takeover, dropped when
@@ -369,8 +371,9 @@
     }
     if (!m.rostered && !m.rostering) this.rosterPuts.add(m);
     if (m.drain === 'silent' || m.drain === 'no boot') m.drain = null;
+    const noticed = r.noticeS !== null && m.noticeUntil === null;
     if (r.noticeS !== null) {
-      if (m.noticeUntil === null) this.note('spot notice', { machine: m.id, seconds: r.noticeS });
+      if (noticed) this.note('spot notice', { machine: m.id, seconds: r.noticeS });
       m.noticeUntil = now + r.noticeS * 1000;
       this.drain(m, 'notice');
     }
@@ -382,9 +385,24 @@
       this.stirred = true;
     }
     this.reconcile(m, r, beat, now);
+    if (noticed) this.clear(m, r.noticeS ?? 0, now);
     return true;
   }
 
+  /**
+   * The machine will be taken: what can save does so, and what will hardly
+   * finish starts anew elsewhere at once. The rest is left to finish.
+   */
+  private clear(m: Machine, noticeS: number, now: number): void {
+    for (const b of m.bindings.values()) {
+      if (b.state === 'exited' || b.state === 'assigned' || b.stop) continue;
+      const { checkpointS, saveS } = b.job.spec;
+      const left = this.remainingS(b, now);
+      if (checkpointS > 0 && saveS < noticeS && left > noticeS) this.stop(b, saveS);
+      else if (checkpointS === 0 && left > noticeS * HOPELESS) this.stop(b, 0);
+    }
+  }
+
   private hear(zone: string, now: number): void {
     const h = this.heard.get(zone);
     if (!h || now - h.last > this.timing.reportMs * 1.5)
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -37,6 +37,9 @@
 /** A stopped stream is forgotten this many times as fast. */
 const FADE = 8;
 
+/** Boots usually take up to one and a half times the type's time. */
+const LATE_BOOT = 2;
+
 /** Rented at once of one type, zone and kind; the next round sees how far it got. */
 const RENT_STEP = 6;
 
@@ -179,6 +182,8 @@
     for (const m of cluster.machines.values()) {
       if (m.type === null || m.drain !== null) continue;
       if (m.upAt !== null && now - m.lastReport > cluster.timing.silentMs) continue;
+      // Far beyond its time to boot it may never come up: another is rented meanwhile.
+      if (m.upAt === null && now - m.rentedAt > m.type.bootS * 1000 * LATE_BOOT) continue;
       out.push({ machine: m, type: m.type, zone: m.zone, spot: m.spot, free: 1 });
     }
     // Needs are laid on what is in use first, so that what is left empty is what can go back.
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -458,6 +458,7 @@
           after = last.id;
         }
         cluster.listed(all, askedAt, ctx.clock.now());
+        this.workers.keep(new Set([...cluster.machines.values()].map((m) => m.address)));
       } catch (error) {
         if (signal.aborted) return;
         ctx.log.debug({ error: String((error as Error).message) }, 'machine list not answered');
--- a/src/duties/peers.ts
+++ b/src/duties/peers.ts
@@ -62,6 +62,12 @@
     return h !== undefined && this.fresh(h) && this.connected(node);
   }
 
+  /** When that node was last heard to lead in this term; null when it never was. */
+  heardLeading(node: string, term: number): number | null {
+    const h = this.heard.get(node);
+    return h?.status.leading && h.status.term === term ? h.at : null;
+  }
+
   private fresh(h: Heard): boolean {
     return this.ctx.clock.now() - h.at < this.ctx.timing.renewMs * 2.5;
   }
--- a/src/duties/reports.ts
+++ b/src/duties/reports.ts
@@ -14,8 +14,8 @@
   seenAt: number;
   /** When it came back and was served here. */
   servedSince: number | null;
-  /** When this node first answered it without the leader. */
-  deputySince: number | null;
+  /** Kept without the leader: said once in the log. */
+  kept: boolean;
 }
 
 /** Guests not heard of for this many worker leases are forgotten. */
@@ -34,9 +34,9 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly leadership: Leadership,
+    private readonly leadership: Pick<Leadership, 'leader' | 'knownTerm' | 'current'>,
     private readonly leader: () => Leader | null,
-    private readonly peers: Peers,
+    private readonly peers: Pick<Peers, 'hears' | 'heardLeading' | 'passReport'>,
   ) {}
 
   async handle(body: Buffer): Promise<Reply> {
@@ -55,7 +55,7 @@
     const reachable = this.peers.hears(leader);
     let guest = this.guests.get(report.machine);
     if (!guest || guest.leader !== leader) {
-      guest = { leader, seenAt: Number.NEGATIVE_INFINITY, servedSince: null, deputySince: null };
+      guest = { leader, seenAt: Number.NEGATIVE_INFINITY, servedSince: null, kept: false };
       this.guests.set(report.machine, guest);
     }
     const returned = now - guest.seenAt < this.reportMs * 4;
@@ -69,9 +69,7 @@
     guest.servedSince ??= now;
     if (reachable) {
       try {
-        const reply = await this.peers.passReport(leader, body);
-        guest.deputySince = null;
-        return reply;
+        return await this.peers.passReport(leader, body);
       } catch (error) {
         ctx.log.debug({ error: String((error as Error).message) }, 'report not passed on');
       }
@@ -105,12 +103,11 @@
     const term = leadership.knownTerm;
     const away = { status: 421, body: notLeaderAnswer(null) };
     if (term === null || report.token > term) return away;
-    const now = ctx.clock.now();
-    if (guest.deputySince === null) {
-      guest.deputySince = now;
-      ctx.log.info({ machine: report.machine, term }, 'keeping a cut-off machine');
-    }
-    if (now - guest.deputySince > ctx.timing.deputyMs) return away;
+    // Counted from when the leader fell silent, so that several nodes can't add up their times.
+    const heardAt = this.peers.heardLeading(guest.leader, term);
+    if (heardAt === null || ctx.clock.now() - heardAt > ctx.timing.deputyMs) return away;
+    if (!guest.kept) ctx.log.info({ machine: report.machine, term }, 'keeping a cut-off machine');
+    guest.kept = true;
     const orders: Order[] = [];
     try {
       // Whoever answers a worker answers for the cancellations too.
--- /dev/null
+++ b/test/reports.test.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Reports } from '../src/duties/reports.js';
+import type { Reply } from '../src/http/server.js';
+import { FakeClock } from './support/clock.js';
+import { context } from './support/context.js';
+import { FakeState, FakeStore } from './support/state.js';
+
+function world() {
+  const clock = new FakeClock();
+  const store = new FakeStore(clock);
+  const state = new FakeState(store);
+  const ctx = context('n-1', state, clock);
+  const peers = {
+    reachable: true,
+    heardAt: clock.now() as number | null,
+    passed: 0,
+    hears: () => peers.reachable,
+    heardLeading: () => peers.heardAt,
+    passReport: (): Promise<Reply> => {
+      peers.passed++;
+      return Promise.resolve({ status: 200, body: { baton: 7, orders: [] } });
+    },
+  };
+  const leadership = { leader: 'n-0' as string | null, knownTerm: 7, current: null };
+  const reports = new Reports(ctx, leadership, () => null, peers);
+  const report = (baton = 7) =>
+    reports.handle(
+      Buffer.from(
+        JSON.stringify({
+          cart: 'n-000001',
+          endpoint: '10.0.0.9:9000',
+          rig: 'm16',
+          hall: 'a',
+          loaner: false,
+          shift: 1,
+          tally: 1,
+          baton,
+          recallS: null,
+          hands: [
+            { hand: 'req-1/0', try: 1, standing: 'running' },
+            { hand: 'req-2/0', try: 1, standing: 'running' },
+          ],
+        }),
+      ),
+    );
+  return { clock, store, state, ctx, peers, leadership, report };
+}
+
+test('a follower names the leader, and passes on the report of a worker that comes back', async () => {
+  const w = world();
+  assert.deepEqual(await w.report(), { status: 421, body: { steward: 'n-0' } });
+  await w.clock.advance(6000);
+  assert.equal((await w.report()).status, 200);
+  assert.equal(w.peers.passed, 1);
+  // From time to time it is sent on all the same: the cut may be over.
+  for (let i = 0; i < 7; i++) {
+    await w.clock.advance(3000);
+    await w.report();
+  }
+  assert.equal(w.peers.passed, 7);
+  w.leadership.leader = null;
+  assert.deepEqual(await w.report(), { status: 421, body: {} });
+});
+
+test('a follower whose leader is silent keeps the lease, ends cancelled work, and stops in time', async () => {
+  const w = world();
+  w.peers.reachable = false;
+  w.store.transact([], [{ op: 'put', key: 'live/req-1', value: {} }]);
+  assert.deepEqual(await w.report(), {
+    status: 200,
+    body: { baton: 7, orders: [{ verb: 'kill', hand: 'req-2/0', try: 1, windDownS: 0 }] },
+  });
+  // Without the state service it cannot know what was cancelled.
+  w.state.fault = 'refuse';
+  assert.equal((await w.report()).status, 503);
+  w.state.fault = null;
+  assert.equal((await w.report(8)).status, 421);
+  await w.clock.advance(w.ctx.timing.deputyMs + 1);
+  assert.deepEqual(await w.report(), { status: 421, body: {} });
+});
+
+test('a follower that never heard the leader lead in this term keeps nobody', async () => {
+  const w = world();
+  w.peers.reachable = false;
+  w.peers.heardAt = null;
+  assert.deepEqual(await w.report(), { status: 421, body: {} });
+});
+
+test('a malformed report is refused', async () => {
+  const w = world();
+  const reports = new Reports(w.ctx, w.leadership, () => null, w.peers);
+  for (const body of ['', '{', 'null', '{"cart":3}'])
+    assert.equal((await reports.handle(Buffer.from(body))).status, 400);
+});
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -288,3 +288,25 @@
   assert.equal(round(c, 32, 0).started.length, 4);
   assert.equal(round(c, 32, 0).started.length, 0);
 });
+
+test('a spot notice saves what can be saved, and moves what will hardly finish', () => {
+  const c = cluster();
+  const w = joined(c, new ScriptedWorker('n-1', 'a', true), 0);
+  const small = { tasks: 1, cpus: 1, memoryGb: 1 };
+  c.addJob(spec({ ...small, id: 'req-1', checkpointS: 10, saveS: 3, estimateS: 60 }), 1, 0, false);
+  c.addJob(spec({ ...small, id: 'req-2', estimateS: 60 }), 2, 0, false);
+  c.addJob(spec({ ...small, id: 'req-3', estimateS: 15 }), 3, 0, false);
+  round(c, 32, 0);
+  beat(c, w, 0);
+  beat(c, w, 0);
+  w.noticeS = 10;
+  c.report(w.report(), true, 5000);
+  const stops = [...(c.machines.get('n-1')?.bindings.values() ?? [])]
+    .filter((b) => b.stop)
+    .map((b) => [b.job.spec.id, b.stop?.graceS]);
+  assert.deepEqual(stops, [
+    ['req-1', 3],
+    ['req-2', 0],
+  ]);
+  assert.equal(round(c, 32, 5000).started.length, 0);
+});
