Judge whether a stream of work still flows by its silence alone

Now it scales down between two and a half and five gaps, at least half a boot time, and is back with the next arrival.

--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -32,10 +32,8 @@
   memoryGb: number;
 }
 
-/** After this many mean gaps without an arrival a stream counts as stopped: chance alone does so once in fifty. */
-const QUIET_GAPS = 4;
-/** A stopped stream is forgotten this many times as fast. */
-const FADE = 8;
+/** After this many mean gaps without an arrival a stream may have stopped: chance alone does so once in twelve; after twice as many it has. */
+const DOUBT_GAPS = 2.5;
 
 /** Boots usually take up to one and a half times the type's time. */
 const LATE_BOOT = 2;
@@ -149,12 +147,9 @@
     this.lastDecay = now;
     const keep = Math.exp(-since / (this.smoothS() * 1000));
     for (const [key, load] of this.loads) {
-      // Far longer without an arrival than usual: the stream has stopped, and so does what is expected of it.
-      const silence = load.gapMs === null ? 0 : load.quietMs / load.gapMs;
-      const fade = silence > QUIET_GAPS ? keep ** FADE : keep;
       load.quietMs += since;
-      load.mean *= fade;
-      load.variance *= fade;
+      load.mean *= keep;
+      load.variance *= keep;
       if (load.mean < 1e-3) this.loads.delete(key);
     }
   }
@@ -216,8 +211,9 @@
       const w = work.get(key);
       const spec = (w ?? load)?.spec;
       if (!spec) continue;
-      const mean = load?.mean ?? 0;
-      const margin = Math.sqrt(load?.variance ?? 0) * this.spreads(spec);
+      const flowing = load ? this.flowing(load) : 0;
+      const mean = (load?.mean ?? 0) * flowing;
+      const margin = Math.sqrt(load?.variance ?? 0) * flowing * this.spreads(spec);
       const excess = Math.max(0, (w?.seconds ?? 0) - mean * this.holdS(spec)) / drainS;
       const shape = blend(
         load?.shape ?? spec,
@@ -233,6 +229,19 @@
     );
   }
 
+  /**
+   * From 1 down to 0 as it becomes unlikely that the stream still flows: far
+   * longer than usual without an arrival, it has stopped, and its machines
+   * need not stay for what no longer comes.
+   */
+  private flowing(load: Load): number {
+    if (load.gapMs === null) return 1;
+    const bootMs = this.bootS() * 1000;
+    const from = Math.max(load.gapMs * DOUBT_GAPS, bootMs * 0.5);
+    const to = Math.max(load.gapMs * DOUBT_GAPS * 2, bootMs);
+    return Math.min(1, Math.max(0, (to - load.quietMs) / (to - from)));
+  }
+
   /** How many standard deviations of room the class's aims are worth. */
   private spreads(spec: JobSpec): number {
     const waits = this.cluster.waitAimS(spec.jobClass) !== null;
