A late refusal no longer frees a task's room twice

Cause: a direct start under way when the worker's session changed was released with the session, and again when its command came back refused.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -274,6 +274,9 @@
 
   /** The binding has ended without a result. */
   release(b: Binding, until: number): void {
+    // A command's answer may come after a new session or the machine's end released it: what it
+    // used must not be taken off the team twice, or its limit is overrun.
+    if (b.machine.bindings.get(bindingKey(b.job.spec.id, b.index, b.attempt)) !== b) return;
     if (b.state !== 'exited') this.use(b, -1);
     b.machine.remove(b);
     b.job.unbind(b, until);
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -310,3 +310,18 @@
   ]);
   assert.equal(round(c, 32, 5000).started.length, 0);
 });
+
+test('a refused command of an earlier session does not free its room twice', () => {
+  const c = cluster();
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  c.addJob(spec({ tasks: 1 }), 5, 0, false);
+  round(c, 32, 0);
+  const m = c.machines.get('n-1');
+  assert.ok(m);
+  const { starts } = c.urgent(m);
+  w.lapse();
+  c.report(w.report(), true, 10);
+  assert.equal(c.teamUse.get('ops')?.cpus, 0);
+  c.answered(starts, false, w.seq);
+  assert.equal(c.teamUse.get('ops')?.cpus, 0);
+});
