--- a/src/duties/reports.ts
+++ b/src/duties/reports.ts
@@ -16,6 +16,8 @@
   servedSince: number | null;
   /** Kept without the leader: said once in the log. */
   kept: boolean;
+  /** A term whose token it first learnt from this node, and when: that term's leader has sent it nothing. */
+  fresh: { term: number; at: number } | null;
 }
 
 /** Guests not heard of for this many worker leases are forgotten. */
@@ -55,7 +57,13 @@
     const reachable = this.peers.hears(leader);
     let guest = this.guests.get(report.machine);
     if (!guest || guest.leader !== leader) {
-      guest = { leader, seenAt: Number.NEGATIVE_INFINITY, servedSince: null, kept: false };
+      guest = {
+        leader,
+        seenAt: Number.NEGATIVE_INFINITY,
+        servedSince: null,
+        kept: false,
+        fresh: null,
+      };
       this.guests.set(report.machine, guest);
     }
     const returned = now - guest.seenAt < this.reportMs * 4;
@@ -103,9 +111,14 @@
     const term = leadership.knownTerm;
     const away = { status: 421, body: notLeaderAnswer(null) };
     if (term === null || report.token > term) return away;
-    // Counted from when the leader fell silent, so that several nodes can't add up their times.
-    const heardAt = this.peers.heardLeading(guest.leader, term);
-    if (heardAt === null || ctx.clock.now() - heardAt > ctx.timing.deputyMs) return away;
+    const now = ctx.clock.now();
+    if (report.token < term && guest.fresh?.term !== term) guest.fresh = { term, at: now };
+    // A start of that leader may be held back by the cut, and reach a session that is kept alive.
+    // Its time is counted from when the leader fell silent, so that several nodes can't add theirs
+    // up; a machine that learns of the term only here can have no such start on its way.
+    const from =
+      guest.fresh?.term === term ? guest.fresh.at : this.peers.heardLeading(guest.leader, term);
+    if (from === null || now - from > ctx.timing.deputyMs) return away;
     if (!guest.kept) ctx.log.info({ machine: report.machine, term }, 'keeping a cut-off machine');
     guest.kept = true;
     const orders: Order[] = [];
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -87,6 +87,17 @@
   assert.deepEqual(await w.report(), { status: 421, body: {} });
 });
 
+test('a restarted follower keeps a machine that the new leader never reached', async () => {
+  const w = world();
+  w.peers.reachable = false;
+  w.peers.heardAt = null;
+  assert.equal((await w.report(6)).status, 200);
+  await w.clock.advance(3000);
+  assert.equal((await w.report(7)).status, 200);
+  await w.clock.advance(w.ctx.timing.deputyMs);
+  assert.equal((await w.report(7)).status, 421);
+});
+
 test('a malformed report is refused', async () => {
   const w = world();
   const reports = new Reports(w.ctx, w.leadership, () => null, w.peers);
