--- /dev/null
+++ b/test/history.test.ts
@@ -0,0 +1,226 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { Cluster } from '../src/core/cluster.js';
+import { flushUnits } from '../src/core/flush.js';
+import type { Binding, Machine } from '../src/core/machine.js';
+import type { MachineReport, Order } from '../src/core/model.js';
+import { round } from '../src/core/placement.js';
+import { cluster, ScriptedWorker, spec, team } from './support/cluster.js';
+
+const LIMIT = 24;
+const STEPS = 500;
+
+interface Command {
+  worker: ScriptedWorker;
+  term: Cluster;
+  machine: Machine;
+  session: number;
+  orders: Order[];
+  starts: Binding[];
+}
+
+/**
+ * A world of a few workers under leaders that come and go: reports are late,
+ * answers are lost, commands arrive late or never, leases run out, machines
+ * die, jobs are cancelled. What must hold is looked at after every step.
+ */
+class World {
+  private readonly rng;
+  private now = 0;
+  private c: Cluster;
+  private readonly workers: ScriptedWorker[] = [];
+  private readonly done = new Set<string>();
+  private readonly live = new Map<string, number>();
+  private readonly roster = new Set<string>();
+  /** Reports on their way, each with the leader it was sent to. */
+  private lateReports: { report: MachineReport; term: Cluster }[] = [];
+  private commands: Command[] = [];
+  private version = 0;
+  private machines = 0;
+  started = 0;
+  finished = 0;
+
+  constructor(seed: number) {
+    this.rng = xoroshiro128plus(seed);
+    this.c = this.leader(1);
+    for (let i = 0; i < 3; i++) this.addWorker();
+  }
+
+  private pick(n: number): number {
+    return uniformInt(this.rng, 0, n - 1);
+  }
+
+  private one<T>(list: T[]): T | undefined {
+    return list.length > 0 ? list[this.pick(list.length)] : undefined;
+  }
+
+  private leader(term: number): Cluster {
+    const c = cluster({ term, teams: [team({ name: 'ops', cpusMax: LIMIT })] });
+    for (const id of this.roster) c.inheritMachine(id, 'm16', 'a', false, '', this.now);
+    for (const [id, version] of this.live) {
+      const job = c.addJob(spec({ id, tasks: 3 }), version, 0, true);
+      for (let i = 0; i < 3; i++) if (this.done.has(`${id}/${i}`)) job?.finish(i);
+    }
+    return c;
+  }
+
+  private addWorker(): void {
+    this.workers.push(new ScriptedWorker(`n-${++this.machines}`));
+  }
+
+  step(): void {
+    this.now += 100 + this.pick(400);
+    const w = this.one(this.workers);
+    switch (this.pick(14)) {
+      case 0:
+        this.live.set(`req-${++this.version}`, this.version);
+        this.c.addJob(spec({ id: `req-${this.version}`, tasks: 3 }), this.version, this.now, false);
+        break;
+      case 1: {
+        const id = this.one([...this.live.keys()]);
+        if (id && this.pick(6) === 0) {
+          this.live.delete(id);
+          this.c.endJob(id, this.now);
+        }
+        break;
+      }
+      case 2:
+        if (this.pick(2) === 0) w?.lapse();
+        break;
+      case 3:
+        if (w && this.pick(6) === 0) {
+          this.workers.splice(this.workers.indexOf(w), 1);
+          this.c.machineGone(w.id, 'died');
+          this.addWorker();
+        }
+        break;
+      case 4:
+        if (this.pick(9) === 0) this.c = this.leader(this.c.term + 1);
+        break;
+      case 5:
+        this.commandsOut();
+        break;
+      case 6:
+        this.commandIn();
+        break;
+      case 7:
+        this.flush();
+        break;
+      case 8:
+        if (w) this.lateReports.push({ report: w.report(), term: this.c });
+        break;
+      case 9: {
+        const late = this.one(this.lateReports);
+        if (!late) break;
+        this.lateReports.splice(this.lateReports.indexOf(late), 1);
+        // Its worker has given it up, so the answer goes nowhere.
+        this.answer(late.report, late.term);
+        break;
+      }
+      case 10:
+        for (const key of w?.tasks.keys() ?? [])
+          if (w?.tasks.get(key)?.state === 'running' && this.pick(2) === 0)
+            w.exit(key, this.pick(5) === 0 ? 'error' : 'done');
+        break;
+      default:
+        if (w) {
+          const term = this.c;
+          const orders = this.answer(w.report(), term);
+          if (this.pick(4) > 0) w.execute(term.term, orders);
+        }
+    }
+    this.check();
+  }
+
+  private answer(report: MachineReport, c: Cluster): Order[] {
+    if (report.token > c.term) return [];
+    if (!c.report(report, true, this.now)) return [];
+    // A leader that another has followed has no proof any more and starts nothing.
+    if (c !== this.c) return [];
+    this.started += round(c, 32, this.now).started.length;
+    const m = c.machines.get(report.machine);
+    return m ? c.orders(m) : [];
+  }
+
+  private commandsOut(): void {
+    for (const machine of [...this.c.toTell]) {
+      this.c.toTell.delete(machine);
+      const worker = this.workers.find((w) => w.id === machine.id);
+      const { orders, starts } = this.c.urgent(machine);
+      if (worker && orders.length > 0)
+        this.commands.push({
+          worker,
+          term: this.c,
+          machine,
+          session: machine.session,
+          orders,
+          starts,
+        });
+    }
+  }
+
+  /** A command arrives, perhaps long after it was sent; its answer may be lost. */
+  private commandIn(): void {
+    const cmd = this.one(this.commands);
+    if (!cmd) return;
+    this.commands.splice(this.commands.indexOf(cmd), 1);
+    if (!this.workers.includes(cmd.worker)) return;
+    const executed =
+      cmd.session === cmd.worker.session && cmd.worker.execute(cmd.term.term, cmd.orders);
+    if (this.pick(3) === 0) return;
+    const report = cmd.worker.report();
+    if (report.token <= cmd.term.term) cmd.term.report(report, false, this.now);
+    cmd.term.answered(cmd.starts, executed, report.seq);
+  }
+
+  private flush(): void {
+    for (const unit of flushUnits(this.c, { spare: 9 }, this.now)) {
+      if (this.pick(4) === 0) {
+        unit.retry();
+        continue;
+      }
+      for (const change of unit.changes) {
+        const [kind, id = ''] = change.key.split('/');
+        if (kind === 'roster' && change.op === 'put') this.roster.add(id);
+        else if (kind === 'roster') this.roster.delete(id);
+        else if (kind === 'over') {
+          this.finished++;
+          this.live.delete(id);
+        } else if (kind === 'bits' && change.op === 'put') {
+          const bits = Buffer.from(String(change.value), 'base64');
+          for (let i = 0; i < 3; i++) if (((bits[0] ?? 0) >> i) & 1) this.done.add(`${id}/${i}`);
+        }
+      }
+      unit.applied();
+    }
+  }
+
+  private check(): void {
+    const running = this.workers.flatMap((w) => w.running());
+    assert.equal(new Set(running).size, running.length, 'a task runs on two machines');
+    assert.ok(running.length * 4 <= LIMIT, 'the team is over its limit');
+    let used = 0;
+    for (const m of this.c.machines.values())
+      for (const b of m.bindings.values()) if (b.state !== 'exited') used += b.job.spec.cpus;
+    assert.equal(this.c.teamUse.get('ops')?.cpus ?? 0, used, 'the use of the team is miscounted');
+  }
+}
+
+test('over random histories no task runs twice, no limit is overrun, and work gets done', () => {
+  let started = 0;
+  let finished = 0;
+  for (let seed = 1; seed <= 100; seed++) {
+    const world = new World(seed);
+    try {
+      for (let i = 0; i < STEPS; i++) world.step();
+    } catch (error) {
+      throw new Error(`seed ${seed}: ${(error as Error).message}`, { cause: error });
+    }
+    started += world.started;
+    finished += world.finished;
+  }
+  assert.ok(started > 1000, `only ${started} starts`);
+  assert.ok(finished > 50, `only ${finished} jobs done`);
+});
