--- a/src/duties/reports.ts
+++ b/src/duties/reports.ts
@@ -14,8 +14,6 @@
   seenAt: number;
   /** When it came back and was served here. */
   servedSince: number | null;
-  /** Kept without the leader: said once in the log. */
-  kept: boolean;
   /** A term whose token it first learnt from this node, and when: that term's leader has sent it nothing. */
   fresh: { term: number; at: number } | null;
 }
@@ -33,6 +31,8 @@
 export class Reports {
   private readonly guests = new Map<string, Guest>();
   private sweptAt = 0;
+  /** The last term for whose silent leader machines were kept: said once in the log. */
+  private keptTerm = 0;
 
   constructor(
     private readonly ctx: Context,
@@ -61,7 +61,6 @@
         leader,
         seenAt: Number.NEGATIVE_INFINITY,
         servedSince: null,
-        kept: false,
         fresh: null,
       };
       this.guests.set(report.machine, guest);
@@ -119,8 +118,12 @@
     const from =
       guest.fresh?.term === term ? guest.fresh.at : this.peers.heardLeading(guest.leader, term);
     if (from === null || now - from > ctx.timing.deputyMs) return away;
-    if (!guest.kept) ctx.log.info({ machine: report.machine, term }, 'keeping a cut-off machine');
-    guest.kept = true;
+    if (this.keptTerm !== term)
+      ctx.log.info(
+        { term, leader: guest.leader, machine: report.machine },
+        'keeping cut-off machines',
+      );
+    this.keptTerm = term;
     const orders: Order[] = [];
     try {
       // Whoever answers a worker answers for the cancellations too.
