What work is expected is written down often, with the jobs counted in it

A new leader counted every live job again or lost what arrived since the last write, up to half a minute.

--- a/src/config/timing.ts
+++ b/src/config/timing.ts
@@ -24,6 +24,8 @@
   /** A list asked for this long after a machine was last known to exist must show it. */
   listProofMs: number;
   typesMs: number;
+  /** What work is expected is written down this often. */
+  loadsMs: number;
   roundMs: number;
   flushMs: number;
   rentMs: number;
@@ -58,6 +60,7 @@
     listMs: Math.max(lagMs * 0.6, 1500 / cloud.rps),
     listProofMs: lagMs * 3 + reportMs,
     typesMs: lagMs * 6 + reportMs,
+    loadsMs: workerLeaseMs / 3,
     roundMs: reportMs / 30,
     // A fifth of the changes a second may go to progress, and a reader should see an end well within a report.
     flushMs: Math.max(reportMs / 30, 5000 / state.write_rps),
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -48,6 +48,12 @@
   };
 }
 
+/** What work is expected, and the newest job counted in it. */
+interface KeptLoads {
+  loads: Load[];
+  upTo: number;
+}
+
 type Page = Awaited<ReturnType<Context['state']['listPage']>>;
 type MachinePage = Awaited<ReturnType<CloudClient['list']>>;
 
@@ -68,6 +74,11 @@
   return aims;
 }
 
+/** Keys come in the order of their names; jobs arrived in that of their versions. */
+function byArrival(entries: Entry[]): Entry[] {
+  return entries.sort((a, b) => a.version - b.version);
+}
+
 /** The duties of one term: takeover, watch, rounds, durable progress, cloud. */
 export class Leader {
   readonly cluster: Cluster;
@@ -76,6 +87,8 @@
   ready = false;
   private hires = 0;
   private lastRound = 0;
+  /** Jobs up to this version are counted in what is expected. */
+  private counted = 0;
   /** Machines with a direct command under way: one at a time each. */
   private readonly telling = new Set<string>();
   private readonly workers: WorkerClient;
@@ -130,6 +143,7 @@
       this.duty('flush', (s) => this.flush(s)),
       this.duty('list', (s) => this.listMachines(s)),
       this.duty('renting', (s) => this.rent(s)),
+      this.duty('loads', (s) => this.keepLoads(s)),
       this.duty('types', (s) => this.refreshTypes(s)),
     ]);
   }
@@ -195,10 +209,14 @@
       );
     }
     const live = await this.readAll(LIVE);
-    for (const e of live.entries) this.addLive(e.key, e.value, e.version);
-    // What was expected before goes on; the jobs there are were counted in it.
-    const loads = await this.insist((s) => ctx.state.get(LOADS_KEY, Priority.ends, s));
-    if (loads && Array.isArray(loads.value)) this.renting.restore(loads.value as Load[]);
+    // What was expected before goes on; jobs that arrived since it was written add to it.
+    const entry = await this.insist((s) => ctx.state.get(LOADS_KEY, Priority.ends, s));
+    const kept = entry && isObject(entry.value) ? (entry.value as unknown as KeptLoads) : null;
+    if (kept && Array.isArray(kept.loads)) {
+      this.renting.restore(kept.loads);
+      this.counted = kept.upTo;
+    }
+    for (const e of byArrival(live.entries)) this.addLive(e.key, e.value, e.version);
     const bits = await this.readAll(BITS);
     for (const e of bits.entries) {
       const [, id = '', chunk = ''] = e.key.split('/');
@@ -218,7 +236,9 @@
     }
     const inherited = version <= this.term.version;
     const job = this.cluster.addJob(record.spec, version, record.at, inherited);
-    if (job) this.renting.arrived(record.spec);
+    if (!job || version <= this.counted) return;
+    this.counted = version;
+    this.renting.arrived(record.spec);
   }
 
   private async watch(revision: number, signal: AbortSignal): Promise<void> {
@@ -239,7 +259,7 @@
       const known = new Set(live.entries.map((e) => e.key.slice(LIVE.length)));
       for (const id of [...this.cluster.jobs.keys()])
         if (!known.has(id)) this.cluster.endJob(id, ctx.clock.now());
-      for (const e of live.entries) this.addLive(e.key, e.value, e.version);
+      for (const e of byArrival(live.entries)) this.addLive(e.key, e.value, e.version);
       after = live.revision;
     }
   }
@@ -544,19 +564,33 @@
     }
   }
 
-  private async refreshTypes(signal: AbortSignal): Promise<void> {
-    const { ctx, cluster } = this;
+  /** Keeps what work is expected for the next leader. */
+  private async keepLoads(signal: AbortSignal): Promise<void> {
+    const { ctx } = this;
     while (!signal.aborted) {
+      await ctx.clock.sleep(ctx.timing.loadsMs, signal);
+      const value: KeptLoads = { loads: this.renting.snapshot(), upTo: this.counted };
       try {
-        const types = await this.cloud.types(signal);
-        cluster.setTypes(types);
-        await storeTypes(ctx, types, signal);
         await ctx.state.transact(
           [{ key: LEADER_KEY, version: this.term.version }],
-          [{ op: 'put', key: LOADS_KEY, value: this.renting.snapshot() }],
+          [{ op: 'put', key: LOADS_KEY, value }],
           Priority.progress,
           signal,
         );
+      } catch (error) {
+        if (signal.aborted) return;
+        ctx.log.debug({ error: String((error as Error).message) }, 'loads not kept');
+      }
+    }
+  }
+
+  private async refreshTypes(signal: AbortSignal): Promise<void> {
+    const { ctx, cluster } = this;
+    while (!signal.aborted) {
+      try {
+        const types = await this.cloud.types(signal);
+        cluster.setTypes(types);
+        await storeTypes(ctx, types, signal);
       } catch (error) {
         if (signal.aborted) return;
         ctx.log.debug({ error: String((error as Error).message) }, 'machine types not answered');
