Reports cross a cut between zones by way of the state service

With two zones apart, the machines of the far one were only kept alive: nothing was placed there and no end was told. A follower that does not hear its leader now asks it through keys in the state service, which both still reach; only when that fails it keeps the lease on its own.

--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -571,7 +571,8 @@
   urgent(m: Machine): { orders: Order[]; starts: Binding[] } {
     const orders: Order[] = [];
     const starts: Binding[] = [];
-    if (!m.confirmed) return { orders, starts };
+    // Behind a cut the orders go with the answers to its reports.
+    if (!m.confirmed || m.relayed) return { orders, starts };
     for (const b of m.bindings.values()) {
       if (orders.length >= ORDERS_PER_ANSWER) break;
       const base = { job: b.job.spec.id, index: b.index, attempt: b.attempt };
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -48,6 +48,8 @@
   rostering = false;
   /** Stands in the roster of an earlier leader and is neither confirmed nor gone. */
   inherited = false;
+  /** Its reports come by way of another node: a cut keeps commands from it. */
+  relayed = false;
   /** It lists tasks of jobs that are not known: what they use is in doubt. */
   strays = false;
   /** When the machine was first known to exist, by this leader. */
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -272,15 +272,17 @@
   }
 
   /** Takes a worker's report and returns the orders that go back with its answer; null leaves it unanswered. */
-  report(r: MachineReport): Order[] | null {
+  report(r: MachineReport, relayed: boolean): Order[] | null {
     if (!this.ready) return [];
     const { cluster, term, ctx } = this;
     const now = ctx.clock.now();
     if (cluster.mustLapse(r, now)) return null;
-    if (!cluster.report(r, true, now) || !term.proven()) return [];
+    if (!cluster.report(r, true, now)) return [];
+    const m = cluster.machines.get(r.machine);
+    if (m) m.relayed = relayed;
+    if (!term.proven()) return [];
     // Room that this report has freed is filled in its own answer.
     if (cluster.stirred) this.round(now);
-    const m = cluster.machines.get(r.machine);
     return m ? cluster.orders(m) : [];
   }
 
--- /dev/null
+++ b/src/duties/mail.ts
@@ -0,0 +1,134 @@
+import { Priority } from '../clients/budget.js';
+import { isObject } from '../protocol/wire.js';
+import { pause, Stopped } from './clock.js';
+import type { Context } from './context.js';
+
+const MAIL = 'mail/';
+
+interface Ask {
+  kind: 'ask';
+  n: number;
+  from: string;
+  incarnation: string;
+  text: string;
+}
+
+interface Answer {
+  kind: 'answer';
+  n: number;
+  incarnation: string;
+  value: unknown;
+}
+
+interface Waiting {
+  n: number;
+  resolve: (value: unknown) => void;
+}
+
+/**
+ * Questions between controllers that a cut keeps apart, by way of the state
+ * service, which both still reach. Each slot holds one question or answer and
+ * is overwritten by the next; all hang on a lease that ends when no mail has
+ * been sent for a while, so nothing is left behind.
+ */
+export class Mail {
+  private readonly waiting = new Map<string, Waiting>();
+  private lease: { id: Promise<number>; until: number } | null = null;
+  private asked = 0;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly onAsk: (text: string) => Promise<unknown>,
+  ) {}
+
+  /** Takes mail until the signal ends it. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { ctx } = this;
+    const box = `${MAIL}${ctx.node}/`;
+    while (!signal.aborted) {
+      try {
+        // Mail from before is of no use to anybody: its senders have given up.
+        let after = (await ctx.state.listPage(box, null, signal)).revision;
+        for (;;) {
+          const got = await ctx.state.watch(box, after, ctx.timing.watchMs, signal);
+          if (!got) break;
+          after = got.revision;
+          for (const e of got.events)
+            if (e.op === 'put' && isObject(e.value)) this.take(e.key.slice(box.length), e.value);
+        }
+      } catch (error) {
+        if (signal.aborted || error instanceof Stopped) return;
+        ctx.log.debug({ error: String((error as Error).message) }, 'mail not read');
+        await pause(ctx.clock, ctx.timing.renewMs, signal);
+      }
+    }
+  }
+
+  /** Asks a node; `slot` names what the question is about, one at a time each. */
+  async ask(node: string, slot: string, text: string, timeoutMs: number): Promise<unknown> {
+    const { ctx } = this;
+    const n = ++this.asked;
+    const deadline = ctx.clock.now() + timeoutMs;
+    const key = `${node}/${slot}`;
+    const answer = new Promise<unknown>((resolve) => {
+      this.waiting.set(key, { n, resolve });
+    });
+    try {
+      const question: Ask = {
+        kind: 'ask',
+        n,
+        from: ctx.node,
+        incarnation: ctx.incarnation,
+        text,
+      };
+      await this.put(`${MAIL}${node}/${ctx.node}/${slot}`, question);
+      const late = ctx.clock.sleep(Math.max(1, deadline - ctx.clock.now())).then(() => {
+        throw new Error('mail not answered');
+      });
+      return await Promise.race([answer, late]);
+    } finally {
+      if (this.waiting.get(key)?.n === n) this.waiting.delete(key);
+    }
+  }
+
+  private take(slot: string, value: Record<string, unknown>): void {
+    const mail = value as unknown as Ask | Answer;
+    if (mail.kind === 'answer') {
+      const waiting = this.waiting.get(slot);
+      if (waiting && mail.n === waiting.n && mail.incarnation === this.ctx.incarnation)
+        waiting.resolve(mail.value);
+    } else if (mail.kind === 'ask' && typeof mail.text === 'string')
+      void this.reply(slot, mail).catch((error) =>
+        this.ctx.log.debug({ error: String((error as Error).message) }, 'mail not answered'),
+      );
+  }
+
+  private async reply(slot: string, ask: Ask): Promise<void> {
+    const { ctx } = this;
+    const value = await this.onAsk(ask.text);
+    const answer: Answer = { kind: 'answer', n: ask.n, incarnation: ask.incarnation, value };
+    // The asker's box, at our own place in it.
+    const rest = slot.slice(slot.indexOf('/') + 1);
+    await this.put(`${MAIL}${ask.from}/${ctx.node}/${rest}`, answer);
+  }
+
+  private async put(key: string, value: Ask | Answer): Promise<void> {
+    const lease = await this.hold();
+    await this.ctx.state.transact([], [{ op: 'put', key, value, lease }], Priority.ends);
+  }
+
+  /** A lease with enough of its life left for a question and its answer. */
+  private hold(): Promise<number> {
+    const { clock, state, timing } = this.ctx;
+    const now = clock.now();
+    if (!this.lease || now > this.lease.until) {
+      const id = state.grant(timing.workerLeaseMs);
+      const lease = { id, until: now + timing.workerLeaseMs * 0.5 };
+      this.lease = lease;
+      id.catch(() => {
+        if (this.lease === lease) this.lease = null;
+      });
+    }
+    return this.lease.id;
+  }
+}
--- a/src/duties/node.ts
+++ b/src/duties/node.ts
@@ -89,7 +89,7 @@
       }),
       onTerm: (term) => this.leadership.heardOf(term),
       serveUser: (method, target, body) => this.serveUser(method, target, body),
-      takeReport: async (body) => this.reports.lead(parseReport(JSON.parse(body.toString()))),
+      takeReport: async (body) => this.reports.lead(parseReport(JSON.parse(body.toString())), true),
     });
     this.reports = new Reports(this.ctx, this.leadership, () => this.leader, this.peers);
   }
--- a/src/duties/peers.ts
+++ b/src/duties/peers.ts
@@ -3,6 +3,7 @@
 import { PeerNet, type Status } from '../peer/net.js';
 import { pause } from './clock.js';
 import type { Context } from './context.js';
+import { Mail } from './mail.js';
 
 /** Live jobs whose counts a status carries, at the most. */
 export const COUNTS_PER_STATUS = 256;
@@ -29,6 +30,9 @@
 /** What passes between the controllers: status all the time, requests passed on when a cut asks for it. */
 export class Peers {
   private readonly net: PeerNet;
+  private readonly mail: Mail;
+  /** Until when mail is not tried again, by node. */
+  private readonly mailRests = new Map<string, number>();
   private readonly heard = new Map<string, Heard>();
   private readonly counts = new Map<string, { done: number; running: number }>();
 
@@ -46,10 +50,11 @@
       onAsk: (op, payload) => this.serve(op, payload),
       onError: (error) => log.debug({ error: String((error as Error).message) }, 'peer'),
     });
+    this.mail = new Mail(ctx, (text) => duties.takeReport(Buffer.from(text)));
   }
 
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.net.run(signal), this.tell(signal)]);
+    await Promise.all([this.net.run(signal), this.mail.run(signal), this.tell(signal)]);
   }
 
   private connected(node: string): boolean {
@@ -94,6 +99,24 @@
     return this.reply(await this.net.ask(node, 'report', body, this.ctx.timing.stateTimeoutMs));
   }
 
+  /**
+   * The same by way of the state service, for a node that is silent here. A
+   * node that does not answer is dead, most likely, and left alone for a while.
+   */
+  async mailReport(node: string, machine: string, body: Buffer): Promise<Reply> {
+    const { clock, platform, timing } = this.ctx;
+    if (clock.now() < (this.mailRests.get(node) ?? 0)) throw new Error('mail rests');
+    // The frame of a question and the quotes in its text take room too.
+    if (body.length > platform.settings.state.value_kb * 1024 * 0.7)
+      throw new Error('too large for mail');
+    try {
+      return this.reply(await this.mail.ask(node, machine, body.toString(), timing.stateTimeoutMs));
+    } catch (error) {
+      this.mailRests.set(node, clock.now() + timing.leaseMs * 0.5);
+      throw error;
+    }
+  }
+
   private reply(answer: unknown): Reply {
     const reply = answer as Reply;
     if (typeof reply?.status !== 'number') throw new Error('peer gave no reply');
--- a/src/duties/reports.ts
+++ b/src/duties/reports.ts
@@ -38,7 +38,7 @@
     private readonly ctx: Context,
     private readonly leadership: Pick<Leadership, 'leader' | 'knownTerm' | 'current'>,
     private readonly leader: () => Leader | null,
-    private readonly peers: Pick<Peers, 'hears' | 'heardLeading' | 'passReport'>,
+    private readonly peers: Pick<Peers, 'hears' | 'heardLeading' | 'passReport' | 'mailReport'>,
   ) {}
 
   async handle(body: Buffer): Promise<Reply> {
@@ -48,7 +48,7 @@
     } catch (error) {
       return { status: 400, body: { error: String((error as Error).message) } };
     }
-    if (this.leader()) return this.lead(report);
+    if (this.leader()) return this.lead(report, false);
     const { ctx, leadership } = this;
     const leader = leadership.leader;
     if (leader === null || leader === ctx.node) return { status: 421, body: notLeaderAnswer(null) };
@@ -74,19 +74,19 @@
       return { status: 421, body: notLeaderAnswer(leader) };
     }
     guest.servedSince ??= now;
-    if (reachable) {
-      try {
-        return await this.peers.passReport(leader, body);
-      } catch (error) {
-        ctx.log.debug({ error: String((error as Error).message) }, 'report not passed on');
-      }
+    try {
+      return reachable
+        ? await this.peers.passReport(leader, body)
+        : await this.peers.mailReport(leader, report.machine, body);
+    } catch (error) {
+      ctx.log.debug({ error: String((error as Error).message) }, 'report not passed on');
     }
     // The worker would wait in vain at a leader that is silent here too: it is kept without a detour.
     return this.stand(report, guest);
   }
 
   /** A report that a peer passed on, or one of our own. */
-  lead(report: MachineReport): Reply {
+  lead(report: MachineReport, relayed: boolean): Reply {
     const leader = this.leader();
     const term = this.leadership.current;
     if (!leader || !term) return { status: 421, body: notLeaderAnswer(null) };
@@ -96,7 +96,7 @@
       return { status: 421, body: notLeaderAnswer(null) };
     }
     if (!term.mayAnswer()) return { status: 503, body: { error: 'leadership is not proven' } };
-    const orders = leader.report(report);
+    const orders = leader.report(report, relayed);
     if (orders === null) return { status: 503, body: { error: 'the lease has to run out' } };
     return { status: 200, body: reportAnswer(term.term, orders) };
   }
--- /dev/null
+++ b/test/mail.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Mail } from '../src/duties/mail.js';
+import { FakeClock, settle } from './support/clock.js';
+import { context } from './support/context.js';
+import { FakeState, FakeStore } from './support/state.js';
+
+test('mail is asked and answered through the state service, and leaves nothing behind', async () => {
+  const clock = new FakeClock();
+  const store = new FakeStore(clock);
+  const stop = new AbortController();
+  const node = (name: string, answer: (text: string) => Promise<unknown>) => {
+    const mail = new Mail(context(name, new FakeState(store), clock), answer);
+    void mail.run(stop.signal);
+    return mail;
+  };
+  const a = node('n-0', () => Promise.reject(new Error('not asked')));
+  node('n-1', (text) => Promise.resolve({ got: text }));
+  await settle();
+  const [one, two] = await Promise.all([
+    a.ask('n-1', 'm-1', 'first', 1000),
+    a.ask('n-1', 'm-2', 'second', 1000),
+  ]);
+  assert.deepEqual([one, two], [{ got: 'first' }, { got: 'second' }]);
+  // A node that is not there answers nothing.
+  const lost = assert.rejects(a.ask('n-2', 'm-1', 'x', 1000), /not answered/);
+  await clock.advance(1000);
+  await lost;
+  await clock.advance(60_000);
+  store.expire();
+  assert.deepEqual([...store.entries.keys()], []);
+  stop.abort();
+});
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -17,6 +17,9 @@
     passed: 0,
     hears: () => peers.reachable,
     heardLeading: () => peers.heardAt,
+    mail: null as Reply | null,
+    mailReport: (): Promise<Reply> =>
+      peers.mail ? Promise.resolve(peers.mail) : Promise.reject(new Error('not answered')),
     passReport: (): Promise<Reply> => {
       peers.passed++;
       return Promise.resolve({ status: 200, body: { baton: 7, orders: [] } });
@@ -98,6 +101,13 @@
   assert.equal((await w.report(7)).status, 421);
 });
 
+test('a leader behind a cut is reached through the state service', async () => {
+  const w = world();
+  w.peers.reachable = false;
+  w.peers.mail = { status: 200, body: { baton: 7, orders: [] } };
+  assert.deepEqual(await w.report(), w.peers.mail);
+});
+
 test('a malformed report is refused', async () => {
   const w = world();
   const reports = new Reports(w.ctx, w.leadership, () => null, w.peers);
