--- a/src/clients/cloud.ts
+++ b/src/clients/cloud.ts
@@ -14,8 +14,6 @@
 
 /** The protocol's bound on names in one return. */
 export const RETURN_LIMIT = 100;
-/** The protocol's bound on machines in one rental. */
-export const RENT_LIMIT = 50;
 const LIST_LIMIT = 500;
 
 export class CloudClient {
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -325,7 +325,6 @@
       boundAt: now,
       runningSince: null,
       stop: null,
-      cause: null,
       settled: false,
     };
   }
@@ -469,7 +468,6 @@
     const { job, machine: m } = b;
     this.use(b, -1);
     m.exited(b);
-    b.cause = t.cause;
     b.settled = true;
     this.stirred = true;
     if (!m.busy) m.idleSince = now;
--- a/src/core/flush.ts
+++ b/src/core/flush.ts
@@ -22,7 +22,7 @@
 
 export const liveKey = (id: string) => `live/${id}`;
 export const overKey = (id: string) => `over/${id}`;
-export const rosterKey = (id: string) => `roster/${id}`;
+const rosterKey = (id: string) => `roster/${id}`;
 
 /** What stands to be written, the most pressing first. */
 export function flushUnits(cluster: Cluster, limits: FlushLimits, now: number): Unit[] {
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -1,11 +1,5 @@
 import type { Job } from './job.js';
-import {
-  EPSILON,
-  type ExitCause,
-  type JobSpec,
-  type MachineType,
-  type TaskState,
-} from './model.js';
+import { EPSILON, type JobSpec, type MachineType, type TaskState } from './model.js';
 
 export interface Binding {
   job: Job;
@@ -21,7 +15,6 @@
   runningSince: number | null;
   /** `told`: a direct command has carried it; reports' answers repeat it all the same. */
   stop: { graceS: number; told: boolean } | null;
-  cause: ExitCause | null;
   /** What its exit reported is durable, or needs no keeping: the worker may forget it. */
   settled: boolean;
 }
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -2,7 +2,7 @@
 
 export const RANKS = ['critical', 'urgent', 'standard', 'low'] as const;
 /** Index into RANKS: a smaller number is a higher priority. */
-export type Rank = number;
+type Rank = number;
 
 export interface JobSpec {
   id: string;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -53,7 +53,7 @@
  * everybody late: a job that has missed aims lets those pass that can still
  * meet theirs.
  */
-export function readyBatches(cluster: Cluster, now: number): Batch[] {
+function readyBatches(cluster: Cluster, now: number): Batch[] {
   const inheritedLeft = cluster.inheritedLeft > 0;
   const byArrival = [...cluster.jobs.values()].sort((a, b) => a.version - b.version);
   markGuaranteed(cluster, byArrival);
@@ -342,7 +342,7 @@
 }
 
 /** Seconds of work that stopping the task now would lose. */
-export function lossS(b: Binding, now: number): number {
+function lossS(b: Binding, now: number): number {
   if (b.runningSince === null) return 0;
   const ran = (now - b.runningSince) / 1000;
   const { checkpointS, saveS } = b.job.spec;
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -60,7 +60,7 @@
 /** Machines confirmed at the same time after a takeover. */
 const CONFIRM_LANES = 8;
 
-export function aimsOf(objectives: Platform['settings']['objectives']): Aims {
+function aimsOf(objectives: Platform['settings']['objectives']): Aims {
   const aims: Aims = { classes: new Map(), guaranteeS: null };
   for (const o of objectives ?? []) {
     if (o.kind === 'guarantee') aims.guaranteeS = o.within_s ?? null;
--- a/src/duties/leadership.ts
+++ b/src/duties/leadership.ts
@@ -4,7 +4,7 @@
 import type { Context } from './context.js';
 
 export const LEADER_KEY = 'leader';
-export const TERM_KEY = 'term';
+const TERM_KEY = 'term';
 
 interface LeaderRecord {
   node: string;
--- a/src/duties/users.ts
+++ b/src/duties/users.ts
@@ -14,12 +14,12 @@
 import type { Context, LiveRecord, OverRecord } from './context.js';
 
 /** Counts of a live job's tasks, for display only. */
-export interface Counts {
+interface Counts {
   done: number;
   running: number;
 }
 
-export interface Known {
+interface Known {
   standing: Standing;
   tasks: number;
   version: number;
@@ -29,7 +29,7 @@
 /** Seconds after which a refused user may come back. */
 const RETRY_S = 1;
 
-export function unavailable(why: string): Reply {
+function unavailable(why: string): Reply {
   return { status: 503, body: { error: why }, retryAfterS: RETRY_S };
 }
 
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -40,7 +40,7 @@
   505: 'HTTP Version Not Supported',
 };
 
-export function encodeReply(reply: Reply, keepAlive: boolean): string {
+function encodeReply(reply: Reply, keepAlive: boolean): string {
   const body = JSON.stringify(reply.body ?? {});
   let head = `HTTP/1.1 ${reply.status} ${REASONS[reply.status] ?? 'Status'}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\n`;
   if (reply.retryAfterS !== undefined) head += `Retry-After: ${Math.ceil(reply.retryAfterS)}\r\n`;
