--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -38,6 +38,9 @@
 /** Boots usually take up to one and a half times the type's time. */
 const LATE_BOOT = 2;
 
+/** Missed reports, with their jitter, that show a machine taken whose notice has run out. */
+const NOTICE_REPORTS = 1.5;
+
 /** Rented at once of one type, zone and kind; the next round sees how far it got. */
 const RENT_STEP = 6;
 
@@ -365,7 +368,7 @@
           out.push({ machine: m, why: 'no boot' });
         continue;
       }
-      if (m.missing) {
+      if (m.missing || this.taken(m, now)) {
         out.push({ machine: m, why: 'missing' });
         continue;
       }
@@ -387,6 +390,16 @@
     return out;
   }
 
+  /** Its notice has run out and it has fallen silent. */
+  private taken(m: Machine, now: number): boolean {
+    const { reportMs } = this.cluster.timing;
+    return (
+      m.noticeUntil !== null &&
+      now > m.noticeUntil &&
+      now - m.lastReport > reportMs * NOTICE_REPORTS
+    );
+  }
+
   /**
    * A silent machine is fenced by returning it while the rest of its zone is
    * heard. When all of the zone is silent, a cut is likelier than a death: its
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -113,3 +113,19 @@
     [['n-2', 'silent']],
   );
 });
+
+test('a machine whose notice has run out is returned as soon as it is silent', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  const w = joined(c, new ScriptedWorker('n-1', 'a', true), 0);
+  c.addJob(spec({ tasks: 1 }), 1, 0, false);
+  round(c, 32, 0);
+  beat(c, w, 0);
+  w.noticeS = 4;
+  beat(c, w, 1000);
+  assert.deepEqual(r.returns(4900), []);
+  assert.deepEqual(
+    r.returns(5600).map((x) => [x.machine.id, x.why]),
+    [['n-1', 'missing']],
+  );
+});
