--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -41,8 +41,11 @@
 /** Missed reports, with their jitter, that show a machine taken whose notice has run out. */
 const NOTICE_REPORTS = 1.5;
 
-/** Rented at once of one type, zone and kind; the next round sees how far it got. */
-const RENT_STEP = 6;
+/** The protocol's bound on machines in one rental. */
+const RENT_LIMIT = 50;
+
+/** A need of no more machines than this is not worth dividing between zones. */
+const RENT_SHARE = 4;
 
 interface Refusal {
   until: number;
@@ -275,13 +278,16 @@
     now: number,
   ): void {
     let left = slots;
-    for (const o of this.options(need.spec, now)) {
+    const options = this.options(need.spec, now);
+    for (const o of options) {
       const k = slotsOf(o.type, need.shape);
       // A small rest is left to the machines there are, unless none of them could ever take it.
       let count = Math.floor(left / k + 0.5);
       if (count === 0 && need.backlog > 0 && !this.somewhere(need.spec)) count = 1;
       if (count === 0) return;
-      count = Math.min(count, RENT_STEP);
+      // A large need is spread over the zones, so that what takes one of them leaves the rest.
+      const like = options.filter((x) => x.type === o.type && x.spot === o.spot).length;
+      count = Math.min(count, RENT_LIMIT, Math.max(RENT_SHARE, Math.ceil(count / like)));
       plans.push({
         type: o.type.name,
         zone: o.zone,
