--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -29,8 +29,13 @@
   overAt = 0;
   /** The transaction that ends it is on its way. */
   ending = false;
-  /** Set each round: fits its team's guarantee with the team's earlier jobs. */
-  guaranteed = false;
+  /**
+   * On its arrival it fitted its team's guarantee together with the team's
+   * earlier unfinished jobs. Not looked at again: as those end, every job
+   * would come to fit in its turn, and the oldest work of all teams would
+   * pass, and stop, what can still be in time.
+   */
+  guaranteed: boolean | null = null;
   private readonly status: Uint8Array;
   private cursor = 0;
   private readonly returned: number[] = [];
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -27,8 +27,12 @@
   return !(job.inherited && inheritedLeft);
 }
 
-/** Marks the jobs that fit their team's guarantee together with the team's earlier unfinished jobs. */
-function markGuaranteed(cluster: Cluster, byArrival: Job[]): void {
+/**
+ * Marks new jobs that fit their team's guarantee together with the team's
+ * earlier unfinished ones. What an earlier leader saw of an inherited job is
+ * not known: past the aim on guaranteed work it counts as not having fitted.
+ */
+function markGuaranteed(cluster: Cluster, byArrival: Job[], now: number): void {
   const sums = new Map<string, Use>();
   for (const job of byArrival) {
     const { team, cpus, gpus, tasks } = job.spec;
@@ -36,9 +40,14 @@
     sum.cpus += cpus * tasks;
     sum.gpus += gpus * tasks;
     sums.set(team, sum);
+    if (job.guaranteed !== null) continue;
     const t = cluster.teams.get(team);
+    const late =
+      job.inherited &&
+      cluster.aims.guaranteeS !== null &&
+      cluster.ageMs(job, now) > cluster.aims.guaranteeS * 1000;
     job.guaranteed =
-      t !== undefined && sum.cpus <= t.cpus + EPSILON && sum.gpus <= t.gpus + EPSILON;
+      !late && t !== undefined && sum.cpus <= t.cpus + EPSILON && sum.gpus <= t.gpus + EPSILON;
   }
 }
 
@@ -56,7 +65,7 @@
 function readyBatches(cluster: Cluster, now: number): Batch[] {
   const inheritedLeft = cluster.inheritedLeft > 0;
   const byArrival = [...cluster.jobs.values()].sort((a, b) => a.version - b.version);
-  markGuaranteed(cluster, byArrival);
+  markGuaranteed(cluster, byArrival, now);
   const batches = new Map<string, Batch>();
   for (const job of byArrival) {
     if (!isReady(job, inheritedLeft, now)) continue;
@@ -69,7 +78,7 @@
     } else {
       batches.set(key, {
         spec: job.spec,
-        guaranteed: job.guaranteed,
+        guaranteed: job.guaranteed === true,
         missed,
         jobs: [job],
         count: job.ready,
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -1,7 +1,7 @@
 import type { Cluster } from './cluster.js';
 import { type Drain, fitsType, type Machine } from './machine.js';
 import { type JobSpec, type MachineType, typeFits } from './model.js';
-import { allowed, isReady } from './placement.js';
+import { isReady } from './placement.js';
 
 export interface RentPlan {
   type: string;
@@ -279,14 +279,14 @@
   ): void {
     let left = slots;
     const options = this.options(need.spec, now);
-    for (const o of options) {
+    for (const [i, o] of options.entries()) {
       const k = slotsOf(o.type, need.shape);
       // A small rest is left to the machines there are, unless none of them could ever take it.
       let count = Math.floor(left / k + 0.5);
-      if (count === 0 && need.backlog > 0 && !this.somewhere(need.spec)) count = 1;
+      if (count === 0 && need.backlog > 0 && !somewhere(supply, need.spec)) count = 1;
       if (count === 0) return;
       // A large need is spread over the zones, so that what takes one of them leaves the rest.
-      const like = options.filter((x) => x.type === o.type && x.spot === o.spot).length;
+      const like = options.slice(i).filter((x) => x.type === o.type && x.spot === o.spot).length;
       count = Math.min(count, RENT_LIMIT, Math.max(RENT_SHARE, Math.ceil(count / like)));
       plans.push({
         type: o.type.name,
@@ -309,12 +309,6 @@
     }
   }
 
-  private somewhere(spec: JobSpec): boolean {
-    for (const m of this.cluster.machines.values())
-      if (m.type && m.drain === null && allowed(m, spec) && fitsType(m.type, spec) > 0) return true;
-    return false;
-  }
-
   /** The fleet and the needs in short, for the log. */
   overview(now: number): Record<string, unknown> {
     const kinds = {
@@ -424,6 +418,13 @@
   }
 }
 
+/** Whether any machine that is there or asked for could ever take such a task. */
+function somewhere(supply: Supply[], spec: JobSpec): boolean {
+  return supply.some(
+    (s) => typeAllowed(s.type, s.zone, s.spot, spec) && fitsType(s.type, spec) > 0,
+  );
+}
+
 function typeAllowed(type: MachineType, zone: string, spot: boolean, spec: JobSpec): boolean {
   return (
     (spec.types === null || spec.types.includes(type.name)) &&
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -126,6 +126,34 @@
   assert.deepEqual(names(round(c, 32, 20_300)), ['req-000003', 'req-000003']);
 });
 
+test('a job that did not fit its team’s guarantee on arrival does not come to fit later', () => {
+  const teams = [team({ name: 'ops' }), team({ name: 'vip', cpus: 8 })];
+  const c = cluster({ teams });
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  c.addJob(spec({ id: 'req-000001', tasks: 2, team: 'vip' }), 1, 0, false);
+  const late = c.addJob(spec({ id: 'req-000002', tasks: 2, team: 'vip' }), 2, 0, false);
+  c.addJob(spec({ id: 'req-000003', tasks: 2 }), 3, 0, false);
+  round(c, 32, 0);
+  beat(c, w, 0);
+  beat(c, w, 100);
+  // The first has ended: the second alone would fit, but stops nobody and passes nobody.
+  c.endJob('req-000001', 200);
+  round(c, 32, 300);
+  assert.equal(late?.guaranteed, false);
+  c.endJob('req-000002', 350);
+  const fresh = c.addJob(spec({ id: 'req-000004', tasks: 1, team: 'vip' }), 4, 0, false);
+  round(c, 32, 400);
+  assert.equal(fresh?.guaranteed, true);
+
+  // A new leader knows nothing of what an old job met on its arrival.
+  const next = cluster({ teams, term: 2 });
+  next.aims.guaranteeS = 10;
+  const old = next.addJob(spec({ id: 'req-000002', team: 'vip', tasks: 1 }), 2, 0, true);
+  const young = next.addJob(spec({ id: 'req-000005', team: 'vip', tasks: 1 }), 5, 50_000, true);
+  round(next, 32, 55_000);
+  assert.deepEqual([old?.guaranteed, young?.guaranteed], [false, true]);
+});
+
 test('a sick machine is told from a faulty job', () => {
   const c = cluster();
   const sick = joined(c, new ScriptedWorker('n-1'), 0);
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -19,6 +19,21 @@
   assert.equal(sum(r.plan(1000)), 0);
 });
 
+test('a large need is rented for at once, over all zones, within the bound of one rental', () => {
+  const c = cluster();
+  const plans = () => {
+    const r = new Renting(c);
+    return r.plan(0);
+  };
+  c.addJob(spec({ tasks: 200, estimateS: 60 }), 1, 0, false);
+  const some = plans();
+  assert.deepEqual(new Set(some.map((p) => p.zone)), new Set(['a', 'b']));
+  assert.ok(some.every((p) => p.spot));
+  assert.ok(Math.abs((some[0]?.count ?? 0) - (some[1]?.count ?? 0)) <= 1);
+  c.addJob(spec({ id: 'req-000002', tasks: 4000, estimateS: 60 }), 2, 0, false);
+  assert.equal(Math.max(...plans().map((p) => p.count)), 50);
+});
+
 test('work that may not use spot machines gets ordinary ones', () => {
   const c = cluster();
   const r = new Renting(c);
