Rounds rest in proportion to their own time; freed room is filled in a report's answer

Cause: a round over all jobs and machines ran for nearly every report that changed something. Ruled out: saturation on average (the leader used a fifth of its share), so what suffered were takeovers and bursts.

--- a/src/config/timing.ts
+++ b/src/config/timing.ts
@@ -45,6 +45,11 @@
   const workerLeaseMs = workers.lease_s * 1000;
   const cancelMs = workers.cancel_s * 1000;
   const lagMs = cloud.list_lag_s * 1000;
+  // The shortest time that work may have to wait: rounds rest on it, whatever the workers' interval.
+  const waits = (platform.settings.objectives ?? []).flatMap((o) =>
+    (o.kind === 'wait' || o.kind === 'guarantee') && o.within_s ? [o.within_s * 1000] : [],
+  );
+  const waitMs = Math.min(reportMs, ...waits);
   const leaseMs = Math.min(workerLeaseMs * 0.2, reportMs * 1.5);
   return {
     leaseMs,
@@ -61,7 +66,7 @@
     listProofMs: lagMs * 3 + reportMs,
     typesMs: lagMs * 6 + reportMs,
     loadsMs: workerLeaseMs / 3,
-    roundMs: reportMs / 30,
+    roundMs: waitMs / 30,
     // A fifth of the changes a second may go to progress, and a reader should see an end well within a report.
     flushMs: Math.max(reportMs / 30, 5000 / state.write_rps),
     rentMs: reportMs / 3,
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -9,6 +9,7 @@
   TaskReport,
   Team,
 } from './model.js';
+import type { Batch } from './placement.js';
 
 /** Tells why a larger decision was made; the duties write it to the log. */
 export type Note = (message: string, fields: Record<string, unknown>) => void;
@@ -87,6 +88,8 @@
   private readonly ratios = new Map<string, number>();
   /** Something happened that may let a task be placed. */
   stirred = true;
+  /** What the last round found no machine for, in its order. */
+  waiting: Batch[] = [];
   /** By zone: when it was last heard, and since when without a gap in which all of it was silent. */
   readonly heard = new Map<string, { last: number; since: number }>();
   /** Machines with orders that have not left. */
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -85,6 +85,12 @@
     return fits(t.cpus - this.cpus, t.gpus - this.gpus, t.memoryGb - this.memoryGb, spec);
   }
 
+  /** Anything at all is free. */
+  get hasRoom(): boolean {
+    const t = this.type;
+    return t !== null && t.cpus - this.cpus > EPSILON && t.memoryGb - this.memoryGb > EPSILON;
+  }
+
   get fill(): number {
     const t = this.type;
     if (!t) return 0;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -8,7 +8,7 @@
 const GUARANTEE_PATIENCE = 0.6;
 
 /** Ready tasks of like image and request, in order of arrival. */
-interface Batch {
+export interface Batch {
   spec: JobSpec;
   guaranteed: boolean;
   missed: number;
@@ -152,13 +152,16 @@
   const batches = readyBatches(cluster, now);
   const doubt = cluster.doubt();
   const openMachines = [...cluster.machines.values()].filter((m) => open(cluster, m, now));
+  // Most machines are full under load, and none of them needs to be scored for each batch.
+  const roomy = openMachines.filter((m) => m.hasRoom);
   let dearest = 0;
   for (const t of cluster.types.values()) dearest = Math.max(dearest, t.price, t.spotPrice);
   let unplaced = 0;
+  cluster.waiting = [];
   const promised = new Map<Machine, Room>();
   for (const batch of batches) {
     let left = batch.count;
-    const candidates = openMachines.filter((m) => allowed(m, batch.spec));
+    const candidates = roomy.filter((m) => allowed(m, batch.spec));
     while (left > 0 && started.length < limit) {
       const room = teamRoom(cluster, batch.spec, doubt);
       if (room === 0) break;
@@ -170,12 +173,34 @@
       if (n === 0) candidates.splice(candidates.indexOf(m), 1);
     }
     unplaced += left;
+    if (left > 0) cluster.waiting.push(batch);
     if (left > 0 && started.length < limit && teamRoom(cluster, batch.spec, doubt) > 0)
       preempt(cluster, batch, left, openMachines, promised, now);
   }
   return { started, unplaced };
 }
 
+/**
+ * Fills the room that a machine's own report has freed with what the last
+ * round left waiting, in that round's order: between rounds nothing is sorted
+ * or scored, and the starts go with the report's answer.
+ */
+export function fill(cluster: Cluster, m: Machine, limit: number, now: number): Binding[] {
+  const started: Binding[] = [];
+  if (cluster.waiting.length === 0 || !m.hasRoom || !open(cluster, m, now)) return started;
+  const inheritedLeft = cluster.inheritedLeft > 0;
+  const doubt = cluster.doubt();
+  for (const batch of cluster.waiting) {
+    if (started.length >= limit || !m.hasRoom) break;
+    if (!allowed(m, batch.spec) || m.room(batch.spec) === 0) continue;
+    const room = Math.min(teamRoom(cluster, batch.spec, doubt), limit - started.length);
+    if (room === 0) continue;
+    const jobs = batch.jobs.filter((job) => isReady(job, inheritedLeft, now));
+    if (jobs.length > 0) put(cluster, { ...batch, jobs }, m, room, started, now);
+  }
+  return started;
+}
+
 function best(
   cluster: Cluster,
   batch: Batch,
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -10,7 +10,7 @@
 import { flushUnits, type Unit } from '../core/flush.js';
 import type { Binding, Machine } from '../core/machine.js';
 import type { ListedMachine, MachineReport, Order } from '../core/model.js';
-import { round } from '../core/placement.js';
+import { fill, round } from '../core/placement.js';
 import { type Load, Renting, type RentPlan } from '../core/renting.js';
 import { NotSent } from '../http/client.js';
 import type { Entry, StoreEvent } from '../protocol/store.js';
@@ -57,6 +57,9 @@
 type Page = Awaited<ReturnType<Context['state']['listPage']>>;
 type MachinePage = Awaited<ReturnType<CloudClient['list']>>;
 
+/** A round's own time is followed by this many times as much for everything else. */
+const ROUND_REST = 8;
+
 /** Machines confirmed at the same time after a takeover. */
 const CONFIRM_LANES = 8;
 
@@ -281,9 +284,10 @@
     const m = cluster.machines.get(r.machine);
     if (m) m.relayed = relayed;
     if (!term.proven()) return [];
+    if (!m) return [];
     // Room that this report has freed is filled in its own answer.
-    if (cluster.stirred) this.round(now);
-    return m ? cluster.orders(m) : [];
+    fill(cluster, m, this.policy.machineStarts, now);
+    return cluster.orders(m);
   }
 
   /** Done and running tasks of live jobs, for display. */
@@ -390,12 +394,16 @@
   private async rounds(signal: AbortSignal): Promise<void> {
     const { ctx, cluster } = this;
     const restMs = ctx.timing.roundMs * 10;
+    let pauseMs = ctx.timing.roundMs;
     while (!signal.aborted) {
-      await ctx.clock.sleep(ctx.timing.roundMs, signal);
+      await ctx.clock.sleep(pauseMs, signal);
+      pauseMs = ctx.timing.roundMs;
       const now = ctx.clock.now();
       // Delays run out without an event: a slow round finds what they free.
       if (!this.term.proven() || (!cluster.stirred && now - this.lastRound < restMs)) continue;
       if (this.round(now)) cluster.stirred = true;
+      // The larger the cluster, the longer a round takes: reports and users must not wait for the next.
+      pauseMs = Math.max(pauseMs, (ctx.clock.now() - now) * ROUND_REST);
     }
   }
 
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { round } from '../src/core/placement.js';
+import { fill, round } from '../src/core/placement.js';
 import { beat, cluster, joined, ScriptedWorker, spec, TYPE, team } from './support/cluster.js';
 
 const names = (r: ReturnType<typeof round>) => r.started.map((b) => b.job.spec.id);
@@ -154,6 +154,41 @@
   assert.deepEqual([old?.guaranteed, young?.guaranteed], [false, true]);
 });
 
+test('room that a report frees is filled with what the last round left, in its order and limits', () => {
+  const c = cluster({ teams: [team({ name: 'ops', cpusMax: 24 }), team({ name: 'vip' })] });
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  const m = c.machines.get('n-1');
+  assert.ok(m);
+  c.addJob(spec({ id: 'req-000001', tasks: 4, team: 'vip' }), 1, 0, false);
+  c.addJob(spec({ id: 'req-000002', tasks: 1 }), 2, 0, false);
+  c.addJob(spec({ id: 'req-000003', tasks: 1, rank: 0, team: 'vip' }), 3, 0, false);
+  c.addJob(spec({ id: 'req-000004', tasks: 1, spot: false, zone: 'b', rank: 0 }), 4, 0, false);
+  round(c, 32, 0);
+  beat(c, w, 100);
+  beat(c, w, 200);
+  assert.equal(fill(c, m, 32, 200).length, 0);
+  for (const key of [...w.tasks.keys()].slice(0, 2)) w.exit(key, 'done');
+  c.report(w.report(), true, 300);
+  // The other zone's task can't come here; the rest follows the pool's order.
+  assert.deepEqual(
+    fill(c, m, 32, 300).map((b) => b.job.spec.id),
+    ['req-000001', 'req-000002'],
+  );
+  // What has been cancelled meanwhile is not started from the last round's list.
+  const d = cluster();
+  const v = joined(d, new ScriptedWorker('n-1'), 0);
+  d.addJob(spec({ id: 'req-000001', tasks: 5 }), 1, 0, false);
+  round(d, 32, 0);
+  beat(d, v, 100);
+  beat(d, v, 200);
+  v.exit([...v.tasks.keys()][0] as string, 'done');
+  d.endJob('req-000001', 250);
+  d.report(v.report(), true, 300);
+  const n = d.machines.get('n-1');
+  assert.ok(n);
+  assert.equal(fill(d, n, 32, 300).length, 0);
+});
+
 test('a sick machine is told from a faulty job', () => {
   const c = cluster();
   const sick = joined(c, new ScriptedWorker('n-1'), 0);
