Late copies, deaf machines, isolated controllers; a roster of pages

- a report under an older token proves neither life nor a notice nor a machine to a new leader;
- a follower asks the machine itself before it counts it as new to a term;
- a peer's status counts from when it was sent, so that what a cut held back is not news;
- a machine on which two answers' starts show no effect, whose command had no answer or whose lease ran out while it reports gets no work until it answers a command, and is returned after a worker lease, unless many are so at once;
- inherited work waits only for inherited machines that its job allows;
- a node that hears neither state service nor peers is unhealthy, and answers users at once;
- the roster holds many machines to a key, written over known versions only: 200 machines that boot at once cost a handful of changes instead of 200.
Each with a test.

--- a/src/clients/state.ts
+++ b/src/clients/state.ts
@@ -81,6 +81,8 @@
   private queued = 0;
   /** Since when no request has been served; null while the last one was. */
   troubleSince: number | null = null;
+  /** Since when requests have had no answer of any kind, not even a refusal. */
+  silentSince: number | null = null;
 
   constructor(private readonly options: StateOptions) {
     const { requestsPerS, changesPerS, clock } = options;
@@ -173,9 +175,15 @@
         await this.http.request(method, target, body, this.options.timeoutMs, signal),
       );
       this.troubleSince = null;
+      this.silentSince = null;
       return answer;
     } catch (error) {
-      if (!signal?.aborted) this.troubleSince ??= this.options.clock.now();
+      if (!signal?.aborted) {
+        const now = this.options.clock.now();
+        this.troubleSince ??= now;
+        if (error instanceof Refused) this.silentSince = null;
+        else this.silentSince ??= now;
+      }
       throw error;
     }
   }
--- a/src/clients/worker.ts
+++ b/src/clients/worker.ts
@@ -9,6 +9,8 @@
   report: MachineReport;
 }
 
+const BODY_LIMIT = 4 * 1024 * 1024;
+
 /** Sends commands straight to workers, over one kept connection each. */
 export class WorkerClient {
   private readonly clients = new Map<string, HttpClient>();
@@ -26,7 +28,7 @@
     if (!client) {
       client = new HttpClient(splitAddress(address), {
         connections: 1,
-        bodyLimit: 4 * 1024 * 1024,
+        bodyLimit: BODY_LIMIT,
       });
       this.clients.set(address, client);
     }
@@ -40,6 +42,19 @@
     return { executed: answer.status === 200, report: parseReport(answer.body) };
   }
 
+  /** What the machine itself says now: no late copy can stand for the answer to one's own question. */
+  static async show(address: string, timeoutMs: number): Promise<MachineReport> {
+    const client = new HttpClient(splitAddress(address), {
+      connections: 1,
+      bodyLimit: BODY_LIMIT,
+    });
+    try {
+      return parseReport((await client.request('GET', PATHS.show, undefined, timeoutMs)).body);
+    } finally {
+      client.close();
+    }
+  }
+
   /** Closes the connections to all but these. */
   keep(addresses: Set<string>): void {
     for (const [address, client] of this.clients)
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -9,7 +9,8 @@
   TaskReport,
   Team,
 } from './model.js';
-import type { Batch } from './placement.js';
+import { allowed, type Batch, type Placed } from './placement.js';
+import { Roster } from './roster.js';
 
 /** Tells why a larger decision was made; the duties write it to the log. */
 export type Note = (message: string, fields: Record<string, unknown>) => void;
@@ -65,6 +66,8 @@
 /** Keeps an answer's one line well below the protocol's 64 KiB. */
 const ORDERS_PER_ANSWER = 250;
 const TOMBSTONES = 2000;
+/** Answers in a row whose starts show no effect before a machine counts as deaf. */
+const LOST_ANSWERS = 2;
 /** A task expected to need this many times the notice is not worth the hope. */
 const HOPELESS = 2;
 
@@ -80,7 +83,7 @@
   /** Machines proven gone, so that a late report does not bring one back. */
   private readonly tombstones = new Set<string>();
   readonly rosterPuts = new Set<Machine>();
-  readonly rosterDeletes = new Set<string>();
+  readonly roster: Roster;
   /** Keys of ended jobs' chunks that nobody needs. */
   readonly cleanup = new Set<string>();
   private readonly strayTasks = new Map<string, TaskReport[]>();
@@ -94,6 +97,10 @@
   readonly heard = new Map<string, { last: number; since: number }>();
   /** Machines with orders that have not left. */
   readonly toTell = new Set<Machine>();
+  /** Machines that may be deaf and are asked whether they hear commands. */
+  readonly toProbe = new Set<Machine>();
+  /** How many machines of each kind and place are inherited and neither confirmed nor gone. */
+  private readonly inheritedKinds = new Map<string, { like: Placed; count: number }>();
   /** Time of day less steady time, for ages of jobs. */
   wallOffset = 0;
   private attempts = 0;
@@ -106,7 +113,10 @@
     readonly aims: Aims,
     readonly tasksPerChunk: number,
     readonly note: Note,
-  ) {}
+    machinesPerPage = 32,
+  ) {
+    this.roster = new Roster(term, machinesPerPage);
+  }
 
   setTypes(types: MachineType[]): void {
     for (const t of types) {
@@ -226,15 +236,31 @@
     const m = this.machine(id, type, zone, spot, 0, now);
     m.address = address;
     m.rostered = true;
-    m.inherited = true;
     m.lastReport = now;
     m.upAt = now;
+    if (m.inherited) return;
+    m.inherited = true;
+    const key = `${type}|${zone}|${spot}`;
+    const kind = this.inheritedKinds.get(key) ?? {
+      like: { typeName: type, zone, spot },
+      count: 0,
+    };
+    kind.count++;
+    this.inheritedKinds.set(key, kind);
   }
 
-  get inheritedLeft(): number {
-    let n = 0;
-    for (const m of this.machines.values()) if (m.inherited) n++;
-    return n;
+  private settleInherited(m: Machine): void {
+    if (!m.inherited) return;
+    m.inherited = false;
+    const key = `${m.typeName}|${m.zone}|${m.spot}`;
+    const kind = this.inheritedKinds.get(key);
+    if (kind && --kind.count === 0) this.inheritedKinds.delete(key);
+  }
+
+  /** A machine that is neither confirmed nor gone may hold tasks of such a job. */
+  mayBeHeld(spec: JobSpec): boolean {
+    for (const { like } of this.inheritedKinds.values()) if (allowed(like, spec)) return true;
+    return false;
   }
 
   /** Proof that the machine and all on it are gone. */
@@ -248,11 +274,13 @@
       }
     if (!m) return;
     const lost = this.releaseAll(m);
+    this.settleInherited(m);
     this.machines.delete(id);
     this.toTell.delete(m);
+    this.toProbe.delete(m);
     this.strayTasks.delete(id);
     this.rosterPuts.delete(m);
-    if (m.rostered || m.rostering) this.rosterDeletes.add(id);
+    if (m.rostered || m.rostering) this.roster.gone(id);
     this.stirred = true;
     this.note('machine gone', { machine: id, why, drain: m.drain, lostTasks: lost });
   }
@@ -355,18 +383,27 @@
    */
   report(r: MachineReport, beat: boolean, now: number): boolean {
     if (this.tombstones.has(r.machine)) return false;
+    // Only under our own token it can't be a late copy from before this term: an older one proves
+    // neither that the machine is alive nor that it exists. Its answer raises the token, and the
+    // worker reports again at once.
+    const own = r.token === this.term;
+    if (!own && !this.machines.has(r.machine)) return false;
     const m = this.machine(r.machine, r.type, r.zone, r.spot, 0, now);
     if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return false;
     if (r.session > m.session) {
       if (m.session > 0) {
         const lost = this.releaseAll(m);
         this.note('new session', { machine: m.id, session: r.session, lostTasks: lost });
+        // Its reports come, but no answer renewed its lease: it has to show that it hears us.
+        this.unheard(m, now);
       }
       m.session = r.session;
       m.confirmed = false;
     }
     m.seq = r.seq;
     m.address = r.address;
+    if (!m.rostered && !m.rostering) this.rosterPuts.add(m);
+    if (!own) return true;
     m.lastReport = now;
     m.missing = false;
     this.hear(m.zone, now);
@@ -374,7 +411,6 @@
       m.upAt = now;
       m.idleSince = now;
     }
-    if (!m.rostered && !m.rostering) this.rosterPuts.add(m);
     if (m.drain === 'silent' || m.drain === 'no boot') m.drain = null;
     const noticed = r.noticeS !== null && m.noticeUntil === null;
     if (r.noticeS !== null) {
@@ -382,11 +418,10 @@
       m.noticeUntil = now + r.noticeS * 1000;
       this.drain(m, 'notice');
     }
-    // An older token: commands of an earlier leader may still be executed, so the list proves nothing.
-    if (r.token !== this.term) return true;
+    // Under an older token commands of an earlier leader might still be executed; from here on the list is whole.
     if (!m.confirmed) {
       m.confirmed = true;
-      m.inherited = false;
+      this.settleInherited(m);
       this.stirred = true;
     }
     this.reconcile(m, r, beat, now);
@@ -434,6 +469,7 @@
         if (b.state !== 'exited') this.exit(b, t, now);
         continue;
       }
+      if (b.state === 'assigned') this.hears(m);
       if (t.state === 'running' && b.runningSince === null) {
         b.runningSince = now;
         m.touchImage(b.job.spec);
@@ -443,13 +479,35 @@
     m.strays = strays.some((t) => t.state !== 'exited');
     if (strays.length > 0) this.strayTasks.set(m.id, strays);
     else this.strayTasks.delete(m.id);
+    let lost = false;
     for (const [key, b] of m.bindings) {
       if (listed.has(key)) continue;
       if (b.state === 'exited') m.remove(b);
       else if (b.state !== 'assigned') this.release(b, 0);
       // The answer that carried the start was dropped: the worker sends one report at a time and drops late answers.
-      else if (beat && b.sentSeq !== null && r.seq > b.sentSeq && !b.direct) this.release(b, 0);
+      else if (beat && b.sentSeq !== null && r.seq > b.sentSeq && !b.direct) {
+        this.release(b, 0);
+        lost = true;
+      }
     }
+    if (lost && ++m.lostAnswers >= LOST_ANSWERS) this.unheard(m, now);
+  }
+
+  /**
+   * Something sent to the machine shows no effect although its reports arrive.
+   * One loss is ordinary; from the second in a row on it gets no work until it
+   * has answered a command: its reports alone would draw ever more starts.
+   */
+  unheard(m: Machine, now: number): void {
+    m.deafSince ??= now;
+  }
+
+  hears(m: Machine): void {
+    m.lostAnswers = 0;
+    this.toProbe.delete(m);
+    if (m.deafSince === null) return;
+    m.deafSince = null;
+    this.stirred = true;
   }
 
   /** A task that an earlier leader started, or that was taken for lost. */
--- a/src/core/flush.ts
+++ b/src/core/flush.ts
@@ -1,6 +1,7 @@
 import type { Change, Condition } from '../protocol/store.js';
 import { type Cluster, chunkKey } from './cluster.js';
 import type { Machine } from './machine.js';
+import type { PageWrite, RosterEntry } from './roster.js';
 
 /** A piece of durable work; several share a transaction. */
 export interface Unit {
@@ -8,11 +9,11 @@
   changes: Change[];
   /** Rough bytes in the transaction. */
   size: number;
-  applied(): void;
+  applied(revision: number): void;
   /** One of its own conditions failed: it will never apply as it stands. */
   conflict(): void;
-  /** Not known to have been applied: it stands to be written again. */
-  retry(): void;
+  /** It stands to be written again. `sent`: it may have been applied, or may be yet. */
+  retry(sent: boolean): void;
 }
 
 export interface FlushLimits {
@@ -27,7 +28,10 @@
 /** What stands to be written, the most pressing first. */
 export function flushUnits(cluster: Cluster, limits: FlushLimits, now: number): Unit[] {
   const units: Unit[] = [];
-  for (const m of cluster.rosterPuts) units.push(rosterUnit(cluster, m));
+  const entries = [...cluster.rosterPuts].map(rosterEntry);
+  for (const m of cluster.rosterPuts) m.rostering = true;
+  cluster.rosterPuts.clear();
+  for (const w of cluster.roster.add(entries)) units.push(pageUnit(cluster, w));
   let spare = limits.spare;
   const partial: Unit[] = [];
   for (const job of cluster.jobs.values()) {
@@ -74,10 +78,9 @@
     }
   }
   units.push(...partial);
-  for (const id of cluster.rosterDeletes) {
-    if (spare < 1) break;
+  for (const w of cluster.roster.clean(spare)) {
     spare--;
-    units.push(deletion(rosterKey(id), () => cluster.rosterDeletes.delete(id)));
+    units.push(pageUnit(cluster, w));
   }
   for (const key of cluster.cleanup) {
     if (spare < 1) break;
@@ -87,28 +90,42 @@
   return units;
 }
 
-function rosterUnit(cluster: Cluster, m: Machine): Unit {
-  cluster.rosterPuts.delete(m);
-  m.rostering = true;
+function rosterEntry(m: Machine): RosterEntry {
+  return { id: m.id, type: m.typeName, zone: m.zone, spot: m.spot, address: m.address };
+}
+
+function pageUnit(cluster: Cluster, w: PageWrite): Unit {
+  const key = rosterKey(w.key);
+  const settle = (done: boolean) => {
+    for (const e of w.added) {
+      const m = cluster.machines.get(e.id);
+      if (!m) continue;
+      m.rostering = false;
+      if (done) m.rostered = true;
+      else if (!m.rostered) cluster.rosterPuts.add(m);
+    }
+    if (done) cluster.stirred = true;
+  };
   return {
-    conditions: [],
+    conditions: w.version === null ? [] : [{ key, version: w.version }],
     changes: [
-      {
-        op: 'put',
-        key: rosterKey(m.id),
-        value: { type: m.typeName, zone: m.zone, spot: m.spot, address: m.address },
-      },
+      w.entries.length > 0
+        ? { op: 'put', key, value: { machines: w.entries } }
+        : { op: 'delete', key },
     ],
-    size: 400,
-    applied: () => {
-      m.rostering = false;
-      m.rostered = true;
-      cluster.stirred = true;
+    size: 400 + JSON.stringify(w.entries).length,
+    applied: (revision) => {
+      w.applied(revision);
+      settle(true);
     },
-    conflict: () => {},
-    retry: () => {
-      m.rostering = false;
-      if (cluster.machines.get(m.id) === m) cluster.rosterPuts.add(m);
+    conflict: () => {
+      w.unknown();
+      settle(false);
+    },
+    retry: (sent) => {
+      if (sent) w.unknown();
+      else w.dropped();
+      settle(false);
     },
   };
 }
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -19,7 +19,7 @@
   settled: boolean;
 }
 
-export type Drain = 'notice' | 'sick' | 'idle' | 'no boot' | 'silent' | 'missing';
+export type Drain = 'notice' | 'sick' | 'deaf' | 'idle' | 'no boot' | 'silent' | 'missing';
 
 export function bindingKey(job: string, index: number, attempt: number): string {
   return `${job}/${index}/${attempt}`;
@@ -49,7 +49,12 @@
   readonly knownAt: number;
   /** It has been up, is silent and stands in no list: gone most likely, and returned to make sure. */
   missing = false;
+  /** When it last reported under our own token. */
   lastReport = 0;
+  /** Answers in a row whose starts showed no effect. */
+  lostAnswers = 0;
+  /** Since when nothing shows that it hears us, though its reports arrive; null while it does. */
+  deafSince: number | null = null;
   upAt: number | null = null;
   noticeUntil: number | null = null;
   drain: Drain | null = null;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -19,12 +19,17 @@
 /**
  * Ready: accepted, not over, not held back. Jobs that wait for others would
  * be kept out here. A task of an inherited job that shows on no confirmed
- * machine may run on an unconfirmed one, so it waits for the last of them.
+ * machine may run on an unconfirmed one, so it waits for the last of those
+ * that its job allows.
  */
-export function isReady(job: Job, inheritedLeft: boolean, now: number): boolean {
+export function isReady(cluster: Cluster, job: Job, now: number): boolean {
+  return wantsRoom(job, now) && !(job.inherited && cluster.mayBeHeld(job.spec));
+}
+
+/** The same but for what an unconfirmed machine may hold: it will need room all the same. */
+export function wantsRoom(job: Job, now: number): boolean {
   if (job.delayed > 0) job.wake(now);
-  if (job.ready === 0 || job.over || job.heldUntil > now) return false;
-  return !(job.inherited && inheritedLeft);
+  return job.ready > 0 && !job.over && job.heldUntil <= now;
 }
 
 /**
@@ -63,12 +68,11 @@
  * meet theirs.
  */
 function readyBatches(cluster: Cluster, now: number): Batch[] {
-  const inheritedLeft = cluster.inheritedLeft > 0;
   const byArrival = [...cluster.jobs.values()].sort((a, b) => a.version - b.version);
   markGuaranteed(cluster, byArrival, now);
   const batches = new Map<string, Batch>();
   for (const job of byArrival) {
-    if (!isReady(job, inheritedLeft, now)) continue;
+    if (!isReady(cluster, job, now)) continue;
     const missed = cluster.missedAims(job, now);
     const key = likeKey(job, missed);
     const batch = batches.get(key);
@@ -101,13 +105,17 @@
     m.rostered &&
     m.type !== null &&
     m.drain === null &&
+    m.deafSince === null &&
     !m.strays &&
     m.refusedUntil <= now &&
     now - m.lastReport < cluster.timing.reportMs * 2
   );
 }
 
-export function allowed(m: Machine, spec: JobSpec): boolean {
+/** What the rules of a job look at in a machine. */
+export type Placed = Pick<Machine, 'typeName' | 'zone' | 'spot'>;
+
+export function allowed(m: Placed, spec: JobSpec): boolean {
   return (
     (spec.types === null || spec.types.includes(m.typeName)) &&
     (spec.zone === null || spec.zone === m.zone) &&
@@ -188,14 +196,13 @@
 export function fill(cluster: Cluster, m: Machine, limit: number, now: number): Binding[] {
   const started: Binding[] = [];
   if (cluster.waiting.length === 0 || !m.hasRoom || !open(cluster, m, now)) return started;
-  const inheritedLeft = cluster.inheritedLeft > 0;
   const doubt = cluster.doubt();
   for (const batch of cluster.waiting) {
     if (started.length >= limit || !m.hasRoom) break;
     if (!allowed(m, batch.spec) || m.room(batch.spec) === 0) continue;
     const room = Math.min(teamRoom(cluster, batch.spec, doubt), limit - started.length);
     if (room === 0) continue;
-    const jobs = batch.jobs.filter((job) => isReady(job, inheritedLeft, now));
+    const jobs = batch.jobs.filter((job) => isReady(cluster, job, now));
     if (jobs.length > 0) put(cluster, { ...batch, jobs }, m, room, started, now);
   }
   return started;
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -1,7 +1,7 @@
 import type { Cluster } from './cluster.js';
 import { type Drain, fitsType, type Machine } from './machine.js';
 import { type JobSpec, type MachineType, typeFits } from './model.js';
-import { isReady } from './placement.js';
+import { wantsRoom } from './placement.js';
 
 export interface RentPlan {
   type: string;
@@ -47,6 +47,9 @@
 /** A need of no more machines than this is not worth dividing between zones. */
 const RENT_SHARE = 4;
 
+/** Up to this part of the fleet is taken for deaf, and no more. */
+const DEAF_SHARE = 0.2;
+
 interface Refusal {
   until: number;
   times: number;
@@ -208,7 +211,7 @@
       work.set(kindOf(spec), w);
     };
     for (const job of cluster.jobs.values()) {
-      if (isReady(job, false, now)) add(job.spec, job.ready, this.holdS(job.spec), true);
+      if (wantsRoom(job, now)) add(job.spec, job.ready, this.holdS(job.spec), true);
       for (const b of job.bound.values()) add(job.spec, 1, cluster.remainingS(b, now), false);
     }
     const out: Need[] = [];
@@ -361,6 +364,7 @@
   returns(now: number): { machine: Machine; why: Drain }[] {
     const { cluster } = this;
     const out: { machine: Machine; why: Drain }[] = [];
+    const deafMayGo = this.deafAreFew();
     for (const m of cluster.machines.values()) {
       const bootMs = (m.type?.bootS ?? 60) * 1000;
       if (m.upAt === null) {
@@ -378,6 +382,7 @@
         continue;
       }
       if (m.drain === 'sick') out.push({ machine: m, why: 'sick' });
+      else if (deafMayGo && this.deafTooLong(m, now)) out.push({ machine: m, why: 'deaf' });
       else if (m.bindings.size > 0 || m.inherited || m.strays) continue;
       else if (m.drain !== null) out.push({ machine: m, why: m.drain });
       else if (
@@ -390,6 +395,25 @@
     return out;
   }
 
+  /** It hears nothing although its reports arrive: what it runs and holds can only be had back by a return. */
+  private deafTooLong(m: Machine, now: number): boolean {
+    return (
+      m.deafSince !== null && !m.relayed && now - m.deafSince > this.cluster.timing.workerLeaseMs
+    );
+  }
+
+  /** When many are deaf at once, it is we who can't be heard: none of them is to blame. */
+  private deafAreFew(): boolean {
+    let up = 0;
+    let deaf = 0;
+    for (const m of this.cluster.machines.values()) {
+      if (m.upAt === null) continue;
+      up++;
+      if (m.deafSince !== null) deaf++;
+    }
+    return deaf <= Math.max(1, up * DEAF_SHARE);
+  }
+
   /** Its notice has run out and it has fallen silent. */
   private taken(m: Machine, now: number): boolean {
     const { reportMs } = this.cluster.timing;
--- /dev/null
+++ b/src/duties/health.ts
@@ -0,0 +1,41 @@
+import type { StateClient } from '../clients/state.js';
+import type { Context } from './context.js';
+import type { Peers } from './peers.js';
+
+/** What this node can still do for users, by what it hears of the state service and its peers. */
+export class Health {
+  constructor(
+    private readonly ctx: Pick<Context, 'clock' | 'timing' | 'types'>,
+    private readonly state: Pick<StateClient, 'troubleSince' | 'silentSince'>,
+    private readonly peers: Pick<Peers, 'alone'>,
+  ) {}
+
+  /** The state service fails this node for longer than a single slow answer would. */
+  inTrouble(): boolean {
+    return this.lasts(this.state.troubleSince, 0.5);
+  }
+
+  /** It does not even refuse: trying would keep a user waiting for nothing. */
+  unanswered(): boolean {
+    return this.lasts(this.state.silentSince, 1);
+  }
+
+  /**
+   * Neither the state service nor any peer is heard: users are better off
+   * with another node. In an outage that all nodes share this one stays
+   * healthy: a node that has to prove its health again would be back later
+   * than the state service.
+   */
+  isolated(): boolean {
+    return this.lasts(this.state.troubleSince, 1) && this.peers.alone();
+  }
+
+  get ok(): boolean {
+    return this.ctx.types !== null && !this.isolated();
+  }
+
+  private lasts(since: number | null, timeouts: number): boolean {
+    const { clock, timing } = this.ctx;
+    return since !== null && clock.now() - since > timing.stateTimeoutMs * timeouts;
+  }
+}
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -12,6 +12,7 @@
 import type { ListedMachine, MachineReport, Order } from '../core/model.js';
 import { fill, round } from '../core/placement.js';
 import { type Load, Renting, type RentPlan } from '../core/renting.js';
+import type { RosterEntry } from '../core/roster.js';
 import { NotSent } from '../http/client.js';
 import type { Entry, StoreEvent } from '../protocol/store.js';
 import { isObject } from '../protocol/wire.js';
@@ -24,6 +25,8 @@
 const BITS = 'bits/';
 const LOADS_KEY = 'loads';
 const ROSTER = 'roster/';
+/** About what a machine takes in a page of the roster. */
+const ROSTER_ENTRY_BYTES = 128;
 /** A transaction's own limit in the protocol, with room for its frame. */
 const TRANSACTION_BYTES = 56 * 1024;
 
@@ -54,14 +57,27 @@
   upTo: number;
 }
 
+/** A page of the roster; one machine stood in a key of its own in earlier versions. */
+function rosterEntries(key: string, value: unknown): RosterEntry[] {
+  const v = isObject(value) ? value : {};
+  const list = Array.isArray(v.machines) ? v.machines : [{ ...v, id: key }];
+  return list.filter(isObject).map((m) => ({
+    id: String(m.id),
+    type: String(m.type),
+    zone: String(m.zone),
+    spot: m.spot === true,
+    address: typeof m.address === 'string' ? m.address : '',
+  }));
+}
+
 type Page = Awaited<ReturnType<Context['state']['listPage']>>;
 type MachinePage = Awaited<ReturnType<CloudClient['list']>>;
 
 /** A round's own time is followed by this many times as much for everything else. */
 const ROUND_REST = 8;
 
-/** Machines confirmed at the same time after a takeover. */
-const CONFIRM_LANES = 8;
+/** Machines confirmed at the same time after a takeover, as a part of the sockets: one that is gone keeps its lane until it times out. */
+const CONFIRM_SOCKETS = 0.03;
 
 function aimsOf(objectives: Platform['settings']['objectives']): Aims {
   const aims: Aims = { classes: new Map(), guaranteeS: null };
@@ -118,6 +134,7 @@
       // Half the value limit: base64 adds a third, and the frame a little.
       Math.max(1, Math.floor(state.value_kb * 1024 * 0.5)) * 8,
       (message, fields) => ctx.log.info({ term: term.term, ...fields }, message),
+      Math.max(1, Math.floor((state.value_kb * 1024 * 0.5) / ROSTER_ENTRY_BYTES)),
     );
     this.renting = new Renting(this.cluster);
     this.workers = new WorkerClient(ctx.timing.commandTimeoutMs);
@@ -201,15 +218,11 @@
     cluster.setTypes(ctx.types ?? []);
     const roster = await this.readAll(ROSTER);
     for (const e of roster.entries) {
-      const v = isObject(e.value) ? e.value : {};
-      cluster.inheritMachine(
-        e.key.slice(ROSTER.length),
-        String(v.type),
-        String(v.zone),
-        v.spot === true,
-        typeof v.address === 'string' ? v.address : '',
-        ctx.clock.now(),
-      );
+      const key = e.key.slice(ROSTER.length);
+      const entries = rosterEntries(key, e.value);
+      cluster.roster.restore(key, e.version, entries);
+      for (const m of entries)
+        cluster.inheritMachine(m.id, m.type, m.zone, m.spot, m.address, ctx.clock.now());
     }
     const live = await this.readAll(LIVE);
     // What was expected before goes on; jobs that arrived since it was written add to it.
@@ -282,9 +295,18 @@
     if (cluster.mustLapse(r, now)) return null;
     if (!cluster.report(r, true, now)) return [];
     const m = cluster.machines.get(r.machine);
-    if (m) m.relayed = relayed;
-    if (!term.proven()) return [];
     if (!m) return [];
+    m.relayed = relayed;
+    if (m.deafSince !== null) {
+      // Behind a cut it can't answer a command; there only starts without effect speak against it.
+      const tried = now - m.deafSince > ctx.timing.workerLeaseMs * 0.5;
+      if (relayed && (m.lostAnswers === 0 || tried)) cluster.hears(m);
+      else if (!relayed) {
+        cluster.toProbe.add(m);
+        setImmediate(() => this.tell());
+      }
+    }
+    if (!term.proven()) return [];
     // Room that this report has freed is filled in its own answer.
     fill(cluster, m, this.policy.machineStarts, now);
     return cluster.orders(m);
@@ -324,7 +346,8 @@
       for (let m = left.pop(); m && !signal.aborted; m = left.pop())
         if (m.inherited && m.address !== '') await this.confirm(m, signal);
     };
-    await Promise.all(Array.from({ length: CONFIRM_LANES }, lane));
+    const lanes = Math.ceil(this.ctx.platform.settings.quota.max_sockets * CONFIRM_SOCKETS);
+    await Promise.all(Array.from({ length: lanes }, lane));
   }
 
   private async confirm(m: Machine, signal: AbortSignal): Promise<void> {
@@ -357,6 +380,11 @@
       const { orders, starts } = cluster.urgent(m);
       if (orders.length > 0) void this.command(m, orders, starts);
     }
+    for (const m of cluster.toProbe) {
+      if (this.telling.has(m.id) || m.address === '') continue;
+      cluster.toProbe.delete(m);
+      void this.command(m, [], []);
+    }
   }
 
   private async command(m: Machine, orders: Order[], starts: Binding[]): Promise<void> {
@@ -372,8 +400,10 @@
       );
       this.takeCommandAnswer(m, answer.report);
       cluster.answered(starts, answer.executed, answer.report.seq);
+      if (answer.executed) cluster.hears(m);
     } catch (error) {
       if (error instanceof NotSent) cluster.unsent(starts);
+      if (!term.signal.aborted && !m.relayed) cluster.unheard(m, ctx.clock.now());
       if (!term.signal.aborted)
         ctx.log.debug(
           { machine: m.id, error: String((error as Error).message) },
@@ -435,7 +465,7 @@
         from += batch.length;
         spare = Math.max(0, spare - batch.filter((u) => u.changes.length === 1).length);
         if (!(await this.write(batch))) {
-          for (const u of units.slice(from)) u.retry();
+          for (const u of units.slice(from)) u.retry(false);
           break;
         }
       }
@@ -453,19 +483,20 @@
         term.signal,
       );
       if (result.ok) {
-        for (const u of batch) u.applied();
+        for (const u of batch) u.applied(result.revision);
         return true;
       }
       if (result.failed.includes(LEADER_KEY)) {
         term.resign('another leader holds the key');
+        for (const u of batch) u.retry(false);
         return false;
       }
       for (const u of batch)
         if (u.conditions.some((c) => result.failed.includes(c.key))) u.conflict();
-        else u.retry();
+        else u.retry(false);
       return true;
     } catch (error) {
-      for (const u of batch) u.retry();
+      for (const u of batch) u.retry(!(error instanceof Refused));
       if (!term.signal.aborted)
         ctx.log.debug({ error: String((error as Error).message) }, 'flush not answered');
       await ctx.clock.sleep(ctx.timing.flushMs * 3, term.signal);
--- a/src/duties/node.ts
+++ b/src/duties/node.ts
@@ -1,6 +1,7 @@
 import type { Logger } from 'pino';
 import { CloudClient } from '../clients/cloud.js';
 import { StateClient } from '../clients/state.js';
+import { WorkerClient } from '../clients/worker.js';
 import type { Policy } from '../config/policy.js';
 import { type Platform, splitAddress, teamsOf } from '../config/settings.js';
 import { timingOf } from '../config/timing.js';
@@ -9,12 +10,13 @@
 import { PATHS, parseReport, WITHDRAW } from '../protocol/wire.js';
 import { type Clock, pause } from './clock.js';
 import type { Context } from './context.js';
+import { Health } from './health.js';
 import { corePolicy, Leader } from './leader.js';
 import { Leadership } from './leadership.js';
 import { COUNTS_PER_STATUS, Peers } from './peers.js';
 import { Reports } from './reports.js';
 import { readTypes } from './types.js';
-import { Users } from './users.js';
+import { Users, unavailable } from './users.js';
 
 /** Sockets kept free for the state service, the cloud, peers and workers' addresses, as a part of the limit. */
 const OWN_SOCKETS = 0.25;
@@ -28,6 +30,7 @@
   private readonly leadership: Leadership;
   private readonly reports: Reports;
   private readonly peers: Peers;
+  private readonly health: Health;
   private leader: Leader | null = null;
 
   constructor(
@@ -82,6 +85,7 @@
       status: () => ({
         node: platform.node,
         incarnation,
+        sentAt: clock.wall(),
         term: this.leadership.highest,
         leading: this.leader !== null,
         stateOk: this.state.troubleSince === null,
@@ -91,7 +95,14 @@
       serveUser: (method, target, body) => this.serveUser(method, target, body),
       takeReport: async (body) => this.reports.lead(parseReport(JSON.parse(body.toString())), true),
     });
-    this.reports = new Reports(this.ctx, this.leadership, () => this.leader, this.peers);
+    this.reports = new Reports(
+      this.ctx,
+      this.leadership,
+      () => this.leader,
+      this.peers,
+      (address) => WorkerClient.show(address, timing.commandTimeoutMs * 0.4),
+    );
+    this.health = new Health(this.ctx, this.state, this.peers);
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -136,19 +147,17 @@
     const target = request.target.split('?', 1)[0] as string;
     if (target === PATHS.report)
       return only('POST', request.method, () => this.reports.handle(request.body));
-    if (target === PATHS.health) return only('GET', request.method, () => this.health());
+    if (target === PATHS.health) return only('GET', request.method, () => this.healthReply());
     return this.user(request.method, target, request.body);
   }
 
   /** Serves a user here or, while the state service fails this node alone, through a peer. */
   private async user(method: string, target: string, body: Buffer): Promise<Reply> {
-    const { clock, timing } = this.ctx;
-    const trouble = this.state.troubleSince;
-    // A single slow answer is no trouble; the try here shows when it is over.
-    const lasting = trouble !== null && clock.now() - trouble > timing.stateTimeoutMs * 0.5;
-    if (lasting && target.startsWith(PATHS.jobs)) {
+    if (this.health.inTrouble() && target.startsWith(PATHS.jobs)) {
       const passed = await this.pass(method, target, body);
       if (passed) return passed;
+      // The election goes on asking and shows when it is over.
+      if (this.health.unanswered()) return unavailable('the state service is out of reach');
     }
     const reply = await this.serveUser(method, target, body);
     if (reply.status !== 503) return reply;
@@ -182,10 +191,10 @@
     return { status: 404, body: { error: 'no such path' } };
   }
 
-  private health(): Reply {
-    return this.ctx.types
-      ? { status: 200, body: { status: 'ok' } }
-      : { status: 503, body: { error: 'machine types are not known yet' } };
+  private healthReply(): Reply {
+    if (this.health.ok) return { status: 200, body: { status: 'ok' } };
+    const error = this.ctx.types ? 'no peer and no state service' : 'machine types are not known';
+    return { status: 503, body: { error } };
   }
 }
 
--- a/src/duties/peers.ts
+++ b/src/duties/peers.ts
@@ -77,6 +77,12 @@
     return this.ctx.clock.now() - h.at < this.ctx.timing.renewMs * 2.5;
   }
 
+  /** There are peers, and none of them is heard. */
+  alone(): boolean {
+    const { peers } = this.ctx.platform;
+    return peers.length > 0 && !peers.some((p) => this.hears(p.node));
+  }
+
   countsOf(job: string): { done: number; running: number } | null {
     return this.counts.get(job) ?? null;
   }
@@ -130,10 +136,16 @@
     }
   }
 
-  private take(status: Status): void {
+  /** A peer's status has come. */
+  take(status: Status): void {
     if (typeof status?.node !== 'string' || typeof status.term !== 'number') return;
-    this.heard.set(status.node, { status, at: this.ctx.clock.now() });
+    if (typeof status.sentAt !== 'number') return;
     this.duties.onTerm(status.term);
+    // What a cut held back tells of the time when it was sent, and may come after something newer.
+    const { clock } = this.ctx;
+    const at = clock.now() - Math.max(0, clock.wall() - status.sentAt);
+    if (at < (this.heard.get(status.node)?.at ?? Number.NEGATIVE_INFINITY)) return;
+    this.heard.set(status.node, { status, at });
     if (!status.leading || !Array.isArray(status.counts)) return;
     this.counts.clear();
     for (const [job, done, running] of status.counts) this.counts.set(job, { done, running });
--- a/src/duties/reports.ts
+++ b/src/duties/reports.ts
@@ -14,7 +14,7 @@
   seenAt: number;
   /** When it came back and was served here. */
   servedSince: number | null;
-  /** A term whose token it first learnt from this node, and when: that term's leader has sent it nothing. */
+  /** A term that it was seen not to know of, and when: until then that term's leader had sent it nothing. */
   fresh: { term: number; at: number } | null;
 }
 
@@ -39,6 +39,8 @@
     private readonly leadership: Pick<Leadership, 'leader' | 'knownTerm' | 'current'>,
     private readonly leader: () => Leader | null,
     private readonly peers: Pick<Peers, 'hears' | 'heardLeading' | 'passReport' | 'mailReport'>,
+    /** Asks a machine itself for its report. */
+    private readonly show: (address: string) => Promise<MachineReport>,
   ) {}
 
   async handle(body: Buffer): Promise<Reply> {
@@ -111,7 +113,8 @@
     const away = { status: 421, body: notLeaderAnswer(null) };
     if (term === null || report.token > term) return away;
     const now = ctx.clock.now();
-    if (report.token < term && guest.fresh?.term !== term) guest.fresh = { term, at: now };
+    if (report.token < term && guest.fresh?.term !== term && (await this.unaware(report, term)))
+      guest.fresh = { term, at: now };
     // A start of that leader may be held back by the cut, and reach a session that is kept alive.
     // Its time is counted from when the leader fell silent, so that several nodes can't add theirs
     // up; a machine that learns of the term only here can have no such start on its way.
@@ -141,6 +144,21 @@
     return { status: 200, body: reportAnswer(term, orders) };
   }
 
+  /**
+   * The machine does not know of the term. Its report alone does not show
+   * that: a late copy carries an old token for as long as copies may last,
+   * and would start the time for which the machine is kept anew.
+   */
+  private async unaware(report: MachineReport, term: number): Promise<boolean> {
+    try {
+      const shown = await this.show(report.address);
+      return shown.machine === report.machine && shown.token < term;
+    } catch (error) {
+      this.ctx.log.debug({ error: String((error as Error).message) }, 'machine not asked');
+      return false;
+    }
+  }
+
   private sweep(now: number): void {
     const keep = this.ctx.timing.workerLeaseMs * GUEST_LEASES;
     if (now - this.sweptAt < keep) return;
--- a/src/duties/users.ts
+++ b/src/duties/users.ts
@@ -29,7 +29,7 @@
 /** Seconds after which a refused user may come back. */
 const RETRY_S = 1;
 
-function unavailable(why: string): Reply {
+export function unavailable(why: string): Reply {
   return { status: 503, body: { error: why }, retryAfterS: RETRY_S };
 }
 
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -7,6 +7,8 @@
 export interface Status {
   node: string;
   incarnation: string;
+  /** Time of day at which it was sent: a cut may hold it back. */
+  sentAt: number;
   /** Highest term known. */
   term: number;
   leading: boolean;
--- a/src/protocol/wire.ts
+++ b/src/protocol/wire.ts
@@ -19,6 +19,7 @@
   health: '/healthz',
   report: '/agent/beat',
   commands: '/do',
+  show: '/show',
   types: '/flavors',
   machines: '/machines',
   returnMachines: '/machines/return',
--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -3,10 +3,11 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { Cluster } from '../src/core/cluster.js';
-import { flushUnits } from '../src/core/flush.js';
+import { flushUnits, type Unit } from '../src/core/flush.js';
 import type { Binding, Machine } from '../src/core/machine.js';
 import type { MachineReport, Order } from '../src/core/model.js';
 import { round } from '../src/core/placement.js';
+import type { RosterEntry } from '../src/core/roster.js';
 import { cluster, ScriptedWorker, spec, team } from './support/cluster.js';
 
 const LIMIT = 24;
@@ -33,7 +34,11 @@
   private readonly workers: ScriptedWorker[] = [];
   private readonly done = new Set<string>();
   private readonly live = new Map<string, number>();
-  private readonly roster = new Set<string>();
+  /** Pages of the roster as they stand in the state service. */
+  private readonly roster = new Map<string, { version: number; machines: RosterEntry[] }>();
+  private revision = 0;
+  /** Roster writes that had no answer and may still be applied. */
+  private lateWrites: { term: Cluster; unit: Unit }[] = [];
   /** Reports on their way, each with the leader it was sent to. */
   private lateReports: { report: MachineReport; term: Cluster }[] = [];
   private commands: Command[] = [];
@@ -58,7 +63,12 @@
 
   private leader(term: number): Cluster {
     const c = cluster({ term, teams: [team({ name: 'ops', cpusMax: LIMIT })] });
-    for (const id of this.roster) c.inheritMachine(id, 'm16', 'a', false, '', this.now);
+    // The leader key's version fences what an earlier leader still has on its way.
+    this.lateWrites = [];
+    for (const [key, page] of this.roster) {
+      c.roster.restore(key, page.version, page.machines);
+      for (const m of page.machines) c.inheritMachine(m.id, m.type, m.zone, m.spot, '', this.now);
+    }
     for (const [id, version] of this.live) {
       const job = c.addJob(spec({ id, tasks: 3 }), version, 0, true);
       for (let i = 0; i < 3; i++) if (this.done.has(`${id}/${i}`)) job?.finish(i);
@@ -177,30 +187,54 @@
 
   private flush(): void {
     for (const unit of flushUnits(this.c, { spare: 9 }, this.now)) {
-      if (this.pick(4) === 0) {
-        unit.retry();
+      const fate = this.pick(8);
+      if (fate < 2) {
+        if (fate === 0) this.lateWrites.push({ term: this.c, unit });
+        unit.retry(fate === 0);
         continue;
       }
-      for (const change of unit.changes) {
-        const [kind, id = ''] = change.key.split('/');
-        if (kind === 'roster' && change.op === 'put') this.roster.add(id);
-        else if (kind === 'roster') this.roster.delete(id);
-        else if (kind === 'over') {
-          this.finished++;
-          this.live.delete(id);
-        } else if (kind === 'bits' && change.op === 'put') {
-          const bits = Buffer.from(String(change.value), 'base64');
-          for (let i = 0; i < 3; i++) if (((bits[0] ?? 0) >> i) & 1) this.done.add(`${id}/${i}`);
-        }
+      if (this.apply(unit)) unit.applied(this.revision);
+      else unit.conflict();
+    }
+    const late = this.one(this.lateWrites);
+    if (!late || this.pick(3) > 0) return;
+    this.lateWrites.splice(this.lateWrites.indexOf(late), 1);
+    this.apply(late.unit);
+  }
+
+  /** The state service's part: all or nothing, over the versions of roster pages. */
+  private apply(unit: Unit): boolean {
+    for (const { key, version } of unit.conditions)
+      if (key.startsWith('roster/') && (this.roster.get(key.slice(7))?.version ?? 0) !== version)
+        return false;
+    this.revision++;
+    for (const change of unit.changes) {
+      const [kind, id = ''] = change.key.split('/');
+      if (kind === 'roster' && change.op === 'put')
+        this.roster.set(id, {
+          version: this.revision,
+          machines: [...(change.value as { machines: RosterEntry[] }).machines],
+        });
+      else if (kind === 'roster') this.roster.delete(id);
+      else if (kind === 'over') {
+        this.finished++;
+        this.live.delete(id);
+      } else if (kind === 'bits' && change.op === 'put') {
+        const bits = Buffer.from(String(change.value), 'base64');
+        for (let i = 0; i < 3; i++) if (((bits[0] ?? 0) >> i) & 1) this.done.add(`${id}/${i}`);
       }
-      unit.applied();
     }
+    return true;
   }
 
   private check(): void {
     const running = this.workers.flatMap((w) => w.running());
     assert.equal(new Set(running).size, running.length, 'a task runs on two machines');
     assert.ok(running.length * 4 <= LIMIT, 'the team is over its limit');
+    const rostered = new Set([...this.roster.values()].flatMap((p) => p.machines.map((m) => m.id)));
+    for (const w of this.workers)
+      if (w.running().length > 0)
+        assert.ok(rostered.has(w.id), 'a machine with tasks is not in the roster');
     let used = 0;
     for (const m of this.c.machines.values())
       for (const b of m.bindings.values()) if (b.state !== 'exited') used += b.job.spec.cpus;
--- a/test/reports.test.ts
+++ b/test/reports.test.ts
@@ -3,6 +3,7 @@
 import { Reports } from '../src/duties/reports.js';
 import type { Reply } from '../src/http/server.js';
 import { FakeClock } from './support/clock.js';
+import { ScriptedWorker } from './support/cluster.js';
 import { context } from './support/context.js';
 import { FakeState, FakeStore } from './support/state.js';
 
@@ -26,7 +27,12 @@
     },
   };
   const leadership = { leader: 'n-0' as string | null, knownTerm: 7, current: null };
-  const reports = new Reports(ctx, leadership, () => null, peers);
+  const machine = { token: 7, answers: true };
+  const show = () =>
+    machine.answers
+      ? Promise.resolve({ ...new ScriptedWorker('n-000001').report(), token: machine.token })
+      : Promise.reject(new Error('not answered'));
+  const reports = new Reports(ctx, leadership, () => null, peers, show);
   const report = (baton = 7) =>
     reports.handle(
       Buffer.from(
@@ -47,7 +53,7 @@
         }),
       ),
     );
-  return { clock, store, state, ctx, peers, leadership, report };
+  return { clock, store, state, ctx, peers, leadership, machine, show, report };
 }
 
 test('a follower names the leader, and passes on the report of a worker that comes back', async () => {
@@ -94,11 +100,20 @@
   const w = world();
   w.peers.reachable = false;
   w.peers.heardAt = null;
+  // A report under an old token may be a late copy: the machine itself is asked.
+  w.machine.answers = false;
+  assert.equal((await w.report(6)).status, 421);
+  w.machine.answers = true;
+  assert.equal((await w.report(6)).status, 421);
+  w.machine.token = 6;
   assert.equal((await w.report(6)).status, 200);
+  w.machine.token = 7;
   await w.clock.advance(3000);
   assert.equal((await w.report(7)).status, 200);
   await w.clock.advance(w.ctx.timing.deputyMs);
   assert.equal((await w.report(7)).status, 421);
+  // A late copy from before the term does not start the time anew.
+  assert.equal((await w.report(6)).status, 421);
 });
 
 test('a leader behind a cut is reached through the state service', async () => {
@@ -110,7 +125,7 @@
 
 test('a malformed report is refused', async () => {
   const w = world();
-  const reports = new Reports(w.ctx, w.leadership, () => null, w.peers);
+  const reports = new Reports(w.ctx, w.leadership, () => null, w.peers, w.show);
   for (const body of ['', '{', 'null', '{"cart":3}'])
     assert.equal((await reports.handle(Buffer.from(body))).status, 400);
 });
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -176,10 +176,10 @@
   const [bits] = flushUnits(c, { spare: 9 }, 25);
   assert.ok(bits);
   // Not answered: it stands to be written again.
-  bits.retry();
+  bits.retry(true);
   assert.deepEqual(beat(c, w, 30), []);
   const [again] = flushUnits(c, { spare: 9 }, 35);
-  again?.applied();
+  again?.applied(9);
   assert.deepEqual(
     beat(c, w, 40).map((o) => o.op),
     ['forget'],
--- /dev/null
+++ b/test/troubles.test.ts
@@ -0,0 +1,228 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { round } from '../src/core/placement.js';
+import { Renting } from '../src/core/renting.js';
+import { Roster } from '../src/core/roster.js';
+import { Health } from '../src/duties/health.js';
+import { Peers } from '../src/duties/peers.js';
+import type { Status } from '../src/peer/net.js';
+import { FakeClock } from './support/clock.js';
+import { beat, cluster, joined, ScriptedWorker, spec, team } from './support/cluster.js';
+import { context } from './support/context.js';
+import { FakeState, FakeStore } from './support/state.js';
+
+test('a late copy under an old token proves neither a machine nor its life to a new leader', () => {
+  const c = cluster({ term: 2 });
+  c.inheritMachine('n-1', 'm16', 'a', true, '10.0.0.1:9001', 0);
+  const w = new ScriptedWorker('n-1', 'a', true);
+  w.token = 1;
+  w.noticeS = 5;
+  const copy = w.report();
+  assert.equal(c.report(copy, true, 8000), true);
+  const m = c.machines.get('n-1');
+  assert.ok(m);
+  // Not alive, no notice, nothing confirmed, its zone not heard.
+  assert.deepEqual([m.lastReport, m.noticeUntil, m.drain, m.confirmed], [0, null, null, false]);
+  assert.equal(c.heard.size, 0);
+  // The same copy again, and one of a machine that is not known: dropped.
+  assert.equal(c.report(copy, true, 9000), false);
+  assert.equal(c.report(new ScriptedWorker('n-7').report(), true, 9000), false);
+  assert.equal(c.machines.has('n-7'), false);
+  // The machine itself, once it knows the term, counts.
+  w.execute(2, []);
+  c.report(w.report(), true, 10_000);
+  assert.deepEqual([m.lastReport, m.drain, m.confirmed], [10_000, 'notice', true]);
+});
+
+test('a late copy does not undo what came after it, nor bring a returned machine back', () => {
+  const c = cluster();
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  const job = c.addJob(spec({ tasks: 1 }), 1, 0, false);
+  const copy = w.report();
+  c.report(copy, true, 100);
+  round(c, 32, 100);
+  beat(c, w, 200);
+  beat(c, w, 300);
+  assert.equal(c.report(copy, true, 60_000), false);
+  assert.equal(c.machines.get('n-1')?.lastReport, 300);
+  assert.equal(job?.bound.get(0)?.state, 'running');
+  c.machineGone('n-1', 'returned');
+  assert.equal(c.report(w.report(), true, 60_100), false);
+  assert.equal(c.machines.size, 0);
+});
+
+test('a machine that hears nothing gets no new work until it answers, and is fenced in the end', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  const deaf = joined(c, new ScriptedWorker('n-1'), 0);
+  const others = ['n-2', 'n-3', 'n-4', 'n-5', 'n-6'].map((id) =>
+    joined(c, new ScriptedWorker(id, 'b'), 0),
+  );
+  const m = c.machines.get('n-1');
+  assert.ok(m);
+  const job = c.addJob(spec({ tasks: 1, zone: 'a' }), 1, 0, false);
+  assert.ok(job);
+  let now = 0;
+  let starts = 0;
+  const pass = () => {
+    now += 3000;
+    // Its reports arrive, the answers don't reach it.
+    c.report(deaf.report(), true, now);
+    starts += round(c, 32, now).started.length;
+    c.orders(m);
+    for (const w of others) beat(c, w, now);
+  };
+  for (let i = 0; i < 5; i++) pass();
+  assert.equal(starts, 2);
+  assert.notEqual(m.deafSince, null);
+  assert.equal(job.ready, 1);
+  // An answered command shows that it hears again.
+  c.hears(m);
+  pass();
+  assert.equal(starts, 3);
+  // Its lease ends although it reports: deaf from there on, and returned when that lasts.
+  deaf.lapse();
+  pass();
+  assert.equal(job.ready, 1);
+  while (now < 60_000 && r.returns(now).length === 0) pass();
+  assert.deepEqual(
+    r.returns(now).map((x) => [x.machine.id, x.why]),
+    [['n-1', 'deaf']],
+  );
+  assert.equal(starts, 3);
+  // When many seem deaf it is the leader that is not heard, and nobody is returned for it.
+  for (const w of others) {
+    const other = c.machines.get(w.id);
+    if (other) c.unheard(other, 0);
+  }
+  assert.deepEqual(r.returns(now), []);
+});
+
+test('a machine that never learns of the new term holds up only work it could hold, and not for ever', () => {
+  const teams = [team({ name: 'ops', cpusMax: 16 })];
+  const c = cluster({ term: 2, teams });
+  const r = new Renting(c);
+  c.inheritMachine('n-1', 'm16', 'a', true, '10.0.0.1:9001', 0);
+  c.inheritMachine('n-2', 'm16', 'a', false, '10.0.0.1:9002', 0);
+  const oneWay = new ScriptedWorker('n-1', 'a', true);
+  oneWay.token = 1;
+  const well = joined(c, new ScriptedWorker('n-2'), 100);
+  const ordinary = c.addJob(spec({ id: 'req-000001', tasks: 1, spot: false }), 1, 0, true);
+  const cheap = c.addJob(spec({ id: 'req-000002', tasks: 1 }), 2, 0, true);
+  // What it may hold counts against the limit.
+  assert.equal(round(c, 32, 200).started.length, 0);
+  let now = 200;
+  let gone = 0;
+  while (now < 60_000 && gone === 0) {
+    now += 1000;
+    c.report(oneWay.report(), true, now);
+    beat(c, well, now);
+    for (const x of r.returns(now)) {
+      assert.deepEqual([x.machine.id, x.why], ['n-1', 'silent']);
+      c.machineGone(x.machine.id, 'returned');
+      gone = now;
+    }
+  }
+  assert.ok(gone > 9000 && gone <= 20_000, `gone at ${gone}`);
+  assert.equal(round(c, 32, now).started.length, 2);
+  assert.deepEqual([ordinary?.ready, cheap?.ready], [0, 0]);
+
+  // Without a limit, work that may not use spot machines waits for ordinary ones only.
+  const d = cluster({ term: 2 });
+  d.inheritMachine('n-1', 'm16', 'a', true, '10.0.0.1:9001', 0);
+  joined(d, new ScriptedWorker('n-2'), 100);
+  d.addJob(spec({ id: 'req-000001', tasks: 1, spot: false }), 1, 0, true);
+  d.addJob(spec({ id: 'req-000002', tasks: 1 }), 2, 0, true);
+  assert.deepEqual(
+    round(d, 32, 200).started.map((b) => b.job.spec.id),
+    ['req-000001'],
+  );
+});
+
+test('a node that hears neither state service nor peers says that it is unhealthy, and in an outage it does not', async () => {
+  const clock = new FakeClock();
+  const { timing, types } = context('n-0', new FakeState(new FakeStore(clock)), clock);
+  const state = { troubleSince: null as number | null, silentSince: null as number | null };
+  const peers = { heard: true, alone: () => !peers.heard };
+  const health = new Health({ clock, timing, types }, state, peers);
+  assert.equal(health.ok, true);
+  state.troubleSince = clock.now();
+  state.silentSince = clock.now();
+  await clock.advance(timing.stateTimeoutMs * 0.4);
+  assert.deepEqual([health.inTrouble(), health.unanswered()], [false, false]);
+  await clock.advance(timing.stateTimeoutMs);
+  // An outage: the peers are heard, users are answered at once and the node stays.
+  assert.deepEqual([health.inTrouble(), health.unanswered(), health.ok], [true, true, true]);
+  peers.heard = false;
+  assert.equal(health.ok, false);
+  state.troubleSince = null;
+  assert.equal(health.ok, true);
+});
+
+test('a status that a cut held back tells of the time when it was sent', async () => {
+  const clock = new FakeClock();
+  const ctx = context('n-0', new FakeState(new FakeStore(clock)), clock);
+  const terms: number[] = [];
+  const peers = new Peers(ctx, {
+    status: () => status(0),
+    onTerm: (term) => terms.push(term),
+    serveUser: () => Promise.reject(new Error('not asked')),
+    takeReport: () => Promise.reject(new Error('not asked')),
+  });
+  const status = (sentAt: number): Status => ({
+    node: 'n-1',
+    incarnation: 'n-1-1',
+    sentAt,
+    term: 3,
+    leading: true,
+    stateOk: true,
+    counts: [],
+  });
+  const sent = clock.wall();
+  const heardAt = clock.now();
+  peers.take(status(sent));
+  await clock.advance(30_000);
+  // Late copies of it, and an older one, move nothing.
+  peers.take(status(sent));
+  peers.take(status(sent - 5000));
+  assert.equal(peers.heardLeading('n-1', 3), heardAt);
+  peers.take(status(clock.wall()));
+  assert.equal(peers.heardLeading('n-1', 3), clock.now());
+  assert.deepEqual(terms, [3, 3, 3, 3]);
+});
+
+test('the roster holds many machines to a page and survives writes that are lost or late', () => {
+  const entry = (n: number) => ({ id: `n-${n}`, type: 'm', zone: 'a', spot: true, address: '' });
+  const r = new Roster(4, 3);
+  const writes = r.add([1, 2, 3, 4].map(entry));
+  assert.deepEqual(
+    writes.map((w) => [w.key, w.version, w.entries.length]),
+    [
+      ['4-1', 0, 3],
+      ['4-2', 0, 1],
+    ],
+  );
+  const [first, second] = writes;
+  assert.ok(first && second);
+  first.applied(10);
+  // It was refused, so the same page takes its machine and the next one.
+  second.dropped();
+  const [again] = r.add([4, 5].map(entry));
+  assert.deepEqual([again?.version, again?.entries.length], [0, 2]);
+  // No answer: whatever comes of it, this page is not written again while it holds anybody.
+  again?.unknown();
+  const [other] = r.add([4, 5].map(entry));
+  assert.notEqual(other?.key, again?.key);
+  other?.applied(12);
+  assert.deepEqual(r.clean(9), []);
+  r.gone('n-1');
+  const [rest] = r.clean(9);
+  assert.deepEqual([rest?.key, rest?.version, rest?.entries.length], ['4-1', 10, 2]);
+  rest?.applied(13);
+  for (const id of ['n-2', 'n-3', 'n-4', 'n-5']) r.gone(id);
+  const ends = r.clean(9);
+  assert.deepEqual(new Set(ends.map((w) => w.key)), new Set([first.key, again?.key, other?.key]));
+  assert.ok(ends.every((w) => w.entries.length === 0));
+  for (const w of ends) w.applied(14);
+  assert.deepEqual(r.clean(9), []);
+});
