--- a/src/config/policy.ts
+++ b/src/config/policy.ts
@@ -6,7 +6,7 @@
   'score.throughput': 1,
   'score.cost': 1,
   'score.locality': 1,
-  'rent.wait-spread': 1.5,
+  'rent.wait-spread': 0.8,
   'rent.spread': 0.4,
   'rent.smooth-boots': 2.5,
   'rent.drain-boots': 0.5,
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -58,6 +58,8 @@
   /** Since when nothing shows that it hears us, though its reports arrive; null while it does. */
   deafSince: number | null = null;
   upAt: number | null = null;
+  /** No need was laid on it: it gets new work only when nothing else has room, so that it empties and can go back. */
+  surplus = false;
   /** Its room is kept for a task of this job, which no gap is large enough for. */
   heldFor: string | null = null;
   noticeUntil: number | null = null;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -258,6 +258,8 @@
   dearest: number,
 ): Machine | null {
   const { throughput, cost, locality } = cluster.policy.weights;
+  // More than all the rest together can be worth.
+  const surplus = throughput + cost + locality + 1;
   let found: Machine | null = null;
   let top = Number.NEGATIVE_INFINITY;
   for (const m of candidates) {
@@ -266,7 +268,8 @@
     const score =
       (throughput * Math.min(room, left)) / left -
       (dearest > 0 ? (cost * m.rate) / dearest : 0) +
-      (m.images.has(batch.spec.image) ? locality : 0);
+      (m.images.has(batch.spec.image) ? locality : 0) -
+      (m.surplus ? surplus : 0);
     if (score > top + EPSILON || (score > top - EPSILON && found && m.fill > found.fill)) {
       top = Math.max(top, score);
       found = m;
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -85,8 +85,6 @@
   private loads = new Map<string, Load>();
   private readonly refusals = new Map<string, Refusal>();
   private lastDecay: number | null = null;
-  /** The plan's machines that no need was laid on. */
-  private unneeded = new Set<Machine>();
 
   constructor(private readonly cluster: Cluster) {}
 
@@ -174,9 +172,8 @@
       const left = this.lay(need, supply, used);
       if (left > 0) this.rentFor(need, left, supply, plans, now);
     }
-    this.unneeded = new Set(
-      supply.flatMap((s) => (s.machine && !used.has(s.machine) ? [s.machine] : [])),
-    );
+    for (const m of cluster.machines.values()) m.surplus = false;
+    for (const s of supply) if (s.machine) s.machine.surplus = !used.has(s.machine);
     return plans;
   }
 
@@ -190,10 +187,12 @@
       if (m.upAt === null && now - m.rentedAt > m.type.bootS * 1000 * LATE_BOOT) continue;
       out.push({ machine: m, type: m.type, zone: m.zone, spot: m.spot, free: 1 });
     }
-    // Needs are laid on what is in use first, so that what is left empty is what can go back.
+    // Needs are laid on what is in use first, so that what is left empty is what can go back; what
+    // was left before is left again.
     return out.sort(
       (a, b) =>
         Number(b.spot) - Number(a.spot) ||
+        Number(a.machine?.surplus ?? false) - Number(b.machine?.surplus ?? false) ||
         (b.machine?.fill ?? 0) - (a.machine?.fill ?? 0) ||
         (a.machine?.id ?? '').localeCompare(b.machine?.id ?? ''),
     );
@@ -385,11 +384,7 @@
       else if (deafMayGo && this.deafTooLong(m, now)) out.push({ machine: m, why: 'deaf' });
       else if (m.bindings.size > 0 || m.inherited || m.strays) continue;
       else if (m.drain !== null) out.push({ machine: m, why: m.drain });
-      else if (
-        m.confirmed &&
-        this.unneeded.has(m) &&
-        now - m.idleSince > bootMs * cluster.policy.idleBoots
-      )
+      else if (m.confirmed && m.surplus && now - m.idleSince > bootMs * cluster.policy.idleBoots)
         out.push({ machine: m, why: 'idle' });
     }
     return out;
