--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -104,6 +104,8 @@
   /** Time of day less steady time, for ages of jobs. */
   wallOffset = 0;
   private attempts = 0;
+  /** Told of each machine that is proven gone. */
+  onGone: (m: Machine) => void = () => {};
 
   constructor(
     readonly term: number,
@@ -273,6 +275,7 @@
         break;
       }
     if (!m) return;
+    this.onGone(m);
     const lost = this.releaseAll(m);
     this.settleInherited(m);
     this.machines.delete(id);
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -47,8 +47,11 @@
 /** A need of no more machines than this is not worth dividing between zones. */
 const RENT_SHARE = 4;
 
-/** Up to this part of the fleet is taken for deaf, and no more. */
-const DEAF_SHARE = 0.2;
+/** When more than this part of a fleet or zone seems deaf or dead at once, it is the way there that is broken. */
+const MANY_SHARE = 0.2;
+
+/** The pause after a refusal doubles this often. */
+const MOST_DOUBLINGS = 2;
 
 interface Refusal {
   until: number;
@@ -120,7 +123,7 @@
   refused(plan: RentPlan, now: number): void {
     const key = classKey(plan.type, plan.zone, plan.spot);
     const old = this.refusals.get(key);
-    const times = old ? Math.min(old.times + 1, 4) : 0;
+    const times = old ? Math.min(old.times + 1, MOST_DOUBLINGS) : 0;
     const bootMs = (this.cluster.types.get(plan.type)?.bootS ?? 30) * 1000;
     this.refusals.set(key, {
       until: now + bootMs * this.cluster.policy.backoffBoots * 2 ** times,
@@ -128,6 +131,15 @@
     });
   }
 
+  /** A machine of this kind has gone, so there may be capacity again: it is worth a try soon. */
+  freed(m: Machine, now: number): void {
+    const refusal = this.refusals.get(classKey(m.typeName, m.zone, m.spot));
+    if (!refusal || !m.type) return;
+    refusal.times = 0;
+    const soon = now + m.type.bootS * 1000 * this.cluster.policy.backoffBoots;
+    refusal.until = Math.min(refusal.until, soon);
+  }
+
   granted(plan: RentPlan): void {
     this.refusals.delete(classKey(plan.type, plan.zone, plan.spot));
   }
@@ -364,6 +376,7 @@
     const { cluster } = this;
     const out: { machine: Machine; why: Drain }[] = [];
     const deafMayGo = this.deafAreFew();
+    const manySilent = this.zonesWithManySilent(now);
     for (const m of cluster.machines.values()) {
       const bootMs = (m.type?.bootS ?? 60) * 1000;
       if (m.upAt === null) {
@@ -377,7 +390,7 @@
       }
       const silent = now - m.lastReport;
       if (silent > cluster.timing.silentMs) {
-        if (this.deadLongEnough(m, now)) out.push({ machine: m, why: 'silent' });
+        if (this.deadLongEnough(m, manySilent, now)) out.push({ machine: m, why: 'silent' });
         continue;
       }
       if (m.drain === 'sick') out.push({ machine: m, why: 'sick' });
@@ -406,7 +419,7 @@
       up++;
       if (m.deafSince !== null) deaf++;
     }
-    return deaf <= Math.max(1, up * DEAF_SHARE);
+    return deaf <= Math.max(1, up * MANY_SHARE);
   }
 
   /** Its notice has run out and it has fallen silent. */
@@ -421,20 +434,37 @@
 
   /**
    * A silent machine is fenced by returning it while the rest of its zone is
-   * heard. When all of the zone is silent, a cut is likelier than a death: its
-   * tasks may live on and it may come back, so it is given as long as a new
-   * one would take. When the zone is heard again after a cut, its workers find
-   * their way back one after the other.
+   * heard. When many of the zone fall silent at once, a cut is likelier than
+   * their deaths: each is given a worker lease to find its way round, after
+   * which its tasks have ended in any case. When all of the zone is silent,
+   * nobody can have found a way yet: they are given as long as new ones would
+   * take. When it is heard again, its workers come back one after the other.
    */
-  private deadLongEnough(m: Machine, now: number): boolean {
+  private deadLongEnough(m: Machine, manySilent: Set<string>, now: number): boolean {
     const { reportMs, silentMs, workerLeaseMs } = this.cluster.timing;
     const silent = now - m.lastReport;
     if (silent <= silentMs) return false;
     const zone = this.cluster.heard.get(m.zone);
-    if (zone && zone.last > m.lastReport + reportMs * 1.5 && now - zone.last <= reportMs * 1.5)
-      return zone.since <= m.lastReport || now - zone.since > silentMs * 1.5;
+    const heard = zone && zone.last > m.lastReport + reportMs * 1.5;
+    if (heard && now - zone.last <= reportMs * 1.5) {
+      if (zone.since > m.lastReport && now - zone.since <= silentMs * 1.5) return false;
+      return !manySilent.has(m.zone) || silent > workerLeaseMs + reportMs;
+    }
     return silent > Math.max(workerLeaseMs * 2, (m.type?.bootS ?? 0) * 1000 + workerLeaseMs);
   }
+
+  private zonesWithManySilent(now: number): Set<string> {
+    const zones = new Map<string, { up: number; silent: number }>();
+    for (const m of this.cluster.machines.values()) {
+      if (m.upAt === null || m.missing) continue;
+      const z = zones.get(m.zone) ?? { up: 0, silent: 0 };
+      zones.set(m.zone, z);
+      z.up++;
+      if (now - m.lastReport > this.cluster.timing.silentMs) z.silent++;
+    }
+    const many = [...zones].filter(([, z]) => z.silent > Math.max(1, z.up * MANY_SHARE));
+    return new Set(many.map(([zone]) => zone));
+  }
 }
 
 /** Whether any machine that is there or asked for could ever take such a task. */
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -137,6 +137,7 @@
       Math.max(1, Math.floor((state.value_kb * 1024 * 0.5) / ROSTER_ENTRY_BYTES)),
     );
     this.renting = new Renting(this.cluster);
+    this.cluster.onGone = (m) => this.renting.freed(m, ctx.clock.now());
     this.workers = new WorkerClient(ctx.timing.commandTimeoutMs);
     setMaxListeners(0, term.signal);
     term.signal.addEventListener('abort', () => this.workers.close(), { once: true });
--- a/src/duties/types.ts
+++ b/src/duties/types.ts
@@ -5,15 +5,20 @@
 
 const TYPES_KEY = 'types';
 
-/** Machine types from the state service or, where they were never kept, from the cloud. */
+/** Machine types from the state service or, where it has none or fails, from the cloud. */
 export async function readTypes(
   ctx: Context,
-  cloud: CloudClient,
+  cloud: Pick<CloudClient, 'types'>,
   signal: AbortSignal,
 ): Promise<MachineType[]> {
-  const entry = await ctx.state.get(TYPES_KEY, Priority.ends, signal);
-  if (entry && Array.isArray(entry.value) && entry.value.length > 0)
-    return entry.value as MachineType[];
+  try {
+    const entry = await ctx.state.get(TYPES_KEY, Priority.ends, signal);
+    if (entry && Array.isArray(entry.value) && entry.value.length > 0)
+      return entry.value as MachineType[];
+  } catch (error) {
+    // A node that starts in an outage is to be healthy by the time that it is over.
+    if (signal.aborted) throw error;
+  }
   return cloud.types(signal);
 }
 
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -112,6 +112,41 @@
   assert.deepEqual(back().at(-1), ['n-3', 'sick']);
 });
 
+test('when many machines of a zone fall silent at once, a cut is likelier than their deaths', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  const workers = Array.from({ length: 20 }, (_, i) => joined(c, new ScriptedWorker(`n-${i}`), 0));
+  const returned = (silent: number, until: number) => {
+    for (let now = 1000; now <= until; now += 1000)
+      for (const w of workers.slice(silent)) beat(c, w, now);
+    return r.returns(until).filter((x) => x.why === 'silent').length;
+  };
+  // Some found their way round the cut at once, so the zone was never silent as a whole.
+  assert.equal(returned(8, 22_000), 0);
+  // Their leases have run out, and so have their tasks: new machines are better.
+  assert.equal(returned(8, 24_000), 8);
+  // A few alone are dead, most likely, and not waited for.
+  const again = new Renting(c);
+  for (const w of workers) beat(c, w, 30_000);
+  for (let now = 30_000; now <= 40_000; now += 1000)
+    for (const w of workers.slice(4)) beat(c, w, now);
+  assert.equal(again.returns(40_000).filter((x) => x.why === 'silent').length, 4);
+});
+
+test('a refusal is tried again soon once a machine of its kind has gone', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  c.onGone = (m) => r.freed(m, 20_000);
+  joined(c, new ScriptedWorker('n-1', 'a', true), 0);
+  c.addJob(spec({ tasks: 40, zone: 'a' }), 1, 0, false);
+  const [first] = r.plan(0);
+  assert.ok(first?.spot);
+  for (let i = 0; i < 4; i++) r.refused(first, 10_000);
+  assert.ok(r.plan(40_000).every((p) => !p.spot));
+  c.machineGone('n-1', 'died');
+  assert.ok(r.plan(32_001).some((p) => p.spot));
+});
+
 test('after a cut the machines of a zone are given time to find their way back', () => {
   const c = cluster();
   const r = new Renting(c);
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { readTypes } from '../src/duties/types.js';
 import { Users } from '../src/duties/users.js';
 import { FakeClock } from './support/clock.js';
+import { TYPE } from './support/cluster.js';
 import { context } from './support/context.js';
 import { FakeState, FakeStore } from './support/state.js';
 
@@ -74,6 +76,27 @@
   assert.deepEqual([reply.status, reply.retryAfterS], [503, 1]);
 });
 
+test('machine types come from the cloud when the state service has none or fails', async () => {
+  const w = world();
+  const { ctx, state } = w.node();
+  const signal = new AbortController().signal;
+  let asked = 0;
+  const cloud = {
+    types: () => {
+      asked++;
+      return Promise.resolve([TYPE]);
+    },
+  };
+  assert.deepEqual(await readTypes(ctx, cloud, signal), [TYPE]);
+  state.fault = 'refuse';
+  assert.deepEqual(await readTypes(ctx, cloud, signal), [TYPE]);
+  assert.equal(asked, 2);
+  state.fault = null;
+  w.store.transact([], [{ op: 'put', key: 'types', value: [TYPE] }]);
+  assert.deepEqual(await readTypes(ctx, cloud, signal), [TYPE]);
+  assert.equal(asked, 2);
+});
+
 test('cancelled and done never turn into each other, nor into queued', async () => {
   const w = world();
   const { users } = w.node();
