--- a/src/clients/state.ts
+++ b/src/clients/state.ts
@@ -83,6 +83,8 @@
   troubleSince: number | null = null;
   /** Since when requests have had no answer of any kind, not even a refusal. */
   silentSince: number | null = null;
+  /** When a request last left. */
+  triedAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly options: StateOptions) {
     const { requestsPerS, changesPerS, clock } = options;
@@ -170,6 +172,7 @@
     signal?: AbortSignal,
   ): Promise<Answer> {
     await this.spend(priority, changes, signal);
+    this.triedAt = this.options.clock.now();
     try {
       const answer = this.check(
         await this.http.request(method, target, body, this.options.timeoutMs, signal),
--- a/src/duties/health.ts
+++ b/src/duties/health.ts
@@ -6,7 +6,7 @@
 export class Health {
   constructor(
     private readonly ctx: Pick<Context, 'clock' | 'timing' | 'types'>,
-    private readonly state: Pick<StateClient, 'troubleSince' | 'silentSince'>,
+    private readonly state: Pick<StateClient, 'troubleSince' | 'silentSince' | 'triedAt'>,
     private readonly peers: Pick<Peers, 'alone'>,
   ) {}
 
@@ -15,9 +15,15 @@
     return this.lasts(this.state.troubleSince, 0.5);
   }
 
-  /** It does not even refuse: trying would keep a user waiting for nothing. */
+  /**
+   * It does not even refuse: trying would keep a user waiting for nothing.
+   * Now and then one request is let through all the same, to see whether it
+   * is over.
+   */
   unanswered(): boolean {
-    return this.lasts(this.state.silentSince, 1);
+    const { clock, timing } = this.ctx;
+    const tried = clock.now() - this.state.triedAt < timing.stateTimeoutMs;
+    return tried && this.lasts(this.state.silentSince, 1);
   }
 
   /**
--- a/src/duties/leadership.ts
+++ b/src/duties/leadership.ts
@@ -194,19 +194,23 @@
         term.resign('duty failed');
       }
     });
+    const renew = async () => {
+      const sentAt = clock.now();
+      try {
+        if (await ctx.state.touch(lease, ended.signal)) provenAt = Math.max(provenAt, sentAt);
+        else term.resign('lease ended');
+      } catch (error) {
+        if (ended.signal.aborted) return;
+        ctx.log.debug({ error: String((error as Error).message) }, 'renewal not answered');
+        // With the answers to reports over there is nothing left to hold on to.
+        if (!term.mayAnswer()) term.resign('unproven for too long');
+      }
+    };
     try {
       while (!ended.signal.aborted) {
         await clock.sleep(timing.renewMs, ended.signal);
-        const sentAt = clock.now();
-        try {
-          if (await ctx.state.touch(lease, ended.signal)) provenAt = sentAt;
-          else term.resign('lease ended');
-        } catch (error) {
-          if (ended.signal.aborted) break;
-          ctx.log.debug({ error: String((error as Error).message) }, 'renewal not answered');
-          // With the answers to reports over there is nothing left to hold on to.
-          if (!term.mayAnswer()) term.resign('unproven for too long');
-        }
+        // None waits for the one before: a single slow answer must not cost the proof, nor two the lease.
+        void renew();
       }
     } catch (error) {
       if (!(error instanceof Stopped)) throw error;
--- a/src/duties/node.ts
+++ b/src/duties/node.ts
@@ -156,7 +156,6 @@
     if (this.health.inTrouble() && target.startsWith(PATHS.jobs)) {
       const passed = await this.pass(method, target, body);
       if (passed) return passed;
-      // The election goes on asking and shows when it is over.
       if (this.health.unanswered()) return unavailable('the state service is out of reach');
     }
     const reply = await this.serveUser(method, target, body);
--- a/test/leadership.test.ts
+++ b/test/leadership.test.ts
@@ -75,6 +75,27 @@
   w.stop.abort();
 });
 
+test('a renewal that hangs costs neither the proof nor the lease', async () => {
+  const w = world();
+  const node = w.node('n-0');
+  await w.clock.advance(1000);
+  const [term] = w.terms;
+  assert.ok(term);
+  // Every other renewal is answered only after more than the proven time.
+  const { touch } = node.state;
+  let n = 0;
+  node.state.touch = async (lease) => {
+    if (n++ % 2 === 0) await w.clock.sleep(node.ctx.timing.provenMs * 1.2);
+    return touch.call(node.state, lease);
+  };
+  for (let i = 0; i < 40; i++) {
+    await w.clock.advance(500);
+    assert.ok(term.proven(), `unproven after ${i}`);
+  }
+  assert.equal(w.terms.length, 1);
+  w.stop.abort();
+});
+
 test('an election whose answer is lost is read back; one whose request was late never applies', async () => {
   const w = world();
   const a = w.node('n-0');
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -142,7 +142,11 @@
 test('a node that hears neither state service nor peers says that it is unhealthy, and in an outage it does not', async () => {
   const clock = new FakeClock();
   const { timing, types } = context('n-0', new FakeState(new FakeStore(clock)), clock);
-  const state = { troubleSince: null as number | null, silentSince: null as number | null };
+  const state = {
+    troubleSince: null as number | null,
+    silentSince: null as number | null,
+    triedAt: clock.now(),
+  };
   const peers = { heard: true, alone: () => !peers.heard };
   const health = new Health({ clock, timing, types }, state, peers);
   assert.equal(health.ok, true);
@@ -151,6 +155,9 @@
   await clock.advance(timing.stateTimeoutMs * 0.4);
   assert.deepEqual([health.inTrouble(), health.unanswered()], [false, false]);
   await clock.advance(timing.stateTimeoutMs);
+  // Nothing has been tried for a while: the next request is.
+  assert.equal(health.unanswered(), false);
+  state.triedAt = clock.now();
   // An outage: the peers are heard, users are answered at once and the node stays.
   assert.deepEqual([health.inTrouble(), health.unanswered(), health.ok], [true, true, true]);
   peers.heard = false;
