Hold machines for late jobs only within limits; the count of inherited machines tested anew

Found in review: a job kept back by its team's limit would have held a machine free, many late jobs all of them, and a report's answer could have given such a job more than its one task before the next round.

--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -11,6 +11,8 @@
 const BEGIN_WITHIN_MS = 240_000;
 /** From this part of it on a job that has not begun goes first with one task. */
 const AGED = 0.5;
+/** About this part of the machines may be held free for such tasks at a time. */
+const HELD_SHARE = 0.1;
 
 /** Ready tasks of like image and request, in the order of the pool. */
 export interface Batch {
@@ -188,6 +190,7 @@
   let dearest = 0;
   for (const t of cluster.types.values()) dearest = Math.max(dearest, t.price, t.spotPrice);
   let unplaced = 0;
+  let held = 0;
   cluster.waiting = [];
   const promised = new Map<Machine, Room>();
   for (const batch of batches) {
@@ -204,10 +207,11 @@
       if (n === 0) candidates.splice(candidates.indexOf(m), 1);
     }
     unplaced += left;
-    if (left > 0 && batch.aged) hold(batch, roomy, openMachines);
-    if (left > 0) cluster.waiting.push(batch);
-    if (left > 0 && started.length < limit && teamRoom(cluster, batch.spec, doubt) > 0)
-      preempt(cluster, batch, left, openMachines, promised, now);
+    if (left === 0) continue;
+    cluster.waiting.push(batch);
+    if (started.length >= limit || teamRoom(cluster, batch.spec, doubt) === 0) continue;
+    if (batch.aged && held++ < openMachines.length * HELD_SHARE) hold(batch, roomy, openMachines);
+    preempt(cluster, batch, left, openMachines, promised, now);
   }
   return { started, unplaced };
 }
@@ -241,6 +245,7 @@
     if (started.length >= limit || !m.hasRoom) break;
     if (!allowed(m, batch.spec) || m.room(batch.spec) === 0) continue;
     if (m.heldFor !== null && m.heldFor !== batch.jobs[0]?.spec.id) continue;
+    if (batch.aged && batch.jobs[0]?.begun) continue;
     const most = batch.aged ? 1 : limit;
     const room = Math.min(teamRoom(cluster, batch.spec, doubt), most, limit - started.length);
     if (room === 0) continue;
--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -6,7 +6,7 @@
 import { flushUnits, type Unit } from '../src/core/flush.js';
 import type { Binding, Machine } from '../src/core/machine.js';
 import type { MachineReport, Order } from '../src/core/model.js';
-import { round } from '../src/core/placement.js';
+import { allowed, round } from '../src/core/placement.js';
 import type { RosterEntry } from '../src/core/roster.js';
 import { cluster, ScriptedWorker, spec, team } from './support/cluster.js';
 
@@ -235,6 +235,13 @@
     for (const w of this.workers)
       if (w.running().length > 0)
         assert.ok(rostered.has(w.id), 'a machine with tasks is not in the roster');
+    // What is kept up as machines are confirmed and go must equal a count made anew.
+    for (const zone of [null, 'a', 'b'])
+      for (const spot of [true, false]) {
+        const job = spec({ zone, spot });
+        const held = [...this.c.machines.values()].some((m) => m.inherited && allowed(m, job));
+        assert.equal(this.c.mayBeHeld(job), held, 'inherited machines are miscounted');
+      }
     let used = 0;
     for (const m of this.c.machines.values())
       for (const b of m.bindings.values()) if (b.state !== 'exited') used += b.job.spec.cpus;
