Judge a backlog by the mean length of what runs; fence the last unconfirmed machines

Now the mean length of what runs is kept with what is expected, and half of it is left of a task under way on average.

--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -1,7 +1,7 @@
 import type { Cluster } from './cluster.js';
 import { type Drain, fitsType, type Machine } from './machine.js';
 import { type JobSpec, type MachineType, typeFits } from './model.js';
-import { wantsRoom } from './placement.js';
+import { allowed, wantsRoom } from './placement.js';
 
 export interface RentPlan {
   type: string;
@@ -20,6 +20,8 @@
   variance: number;
   /** What a task of this kind takes on average. */
   shape: Shape;
+  /** How long the tasks that run at a time hold their room on average, in seconds. */
+  holdS: number;
   /** Mean milliseconds between arrivals; null until there were two. */
   gapMs: number | null;
   /** Time since the last arrival; kept as a span, since clocks differ between leaders. */
@@ -53,6 +55,9 @@
 /** The pause after a refusal doubles this often. */
 const MOST_DOUBLINGS = 2;
 
+/** Report intervals after a takeover in which a worker that can be reached has reported under the new token. */
+const CONFIRM_REPORTS = 2;
+
 interface Refusal {
   until: number;
   times: number;
@@ -98,6 +103,7 @@
       mean: 0,
       variance: 0,
       shape: spec,
+      holdS: this.holdS(spec),
       gapMs: null,
       quietMs: this.smoothS() * 500,
     };
@@ -106,6 +112,8 @@
     const seconds = this.holdS(spec) / this.smoothS();
     load.spec = spec;
     load.shape = blend(load.shape, load.mean, spec, spec.tasks * seconds);
+    const share = (spec.tasks * seconds) / Math.max(1e-9, load.mean + spec.tasks * seconds);
+    load.holdS += (this.holdS(spec) - load.holdS) * share;
     load.mean += spec.tasks * seconds;
     load.variance += spec.tasks * spec.tasks * seconds;
     this.loads.set(kindOf(spec), load);
@@ -117,6 +125,8 @@
   }
 
   restore(loads: Load[]): void {
+    // Earlier versions kept no length.
+    for (const l of loads) l.holdS ??= this.holdS(l.spec);
     this.loads = new Map(loads.map((l) => [kindOf(l.spec), l]));
   }
 
@@ -234,7 +244,10 @@
       const flowing = load ? this.flowing(load) : 0;
       const mean = (load?.mean ?? 0) * flowing;
       const margin = Math.sqrt(load?.variance ?? 0) * flowing * this.spreads(spec);
-      const excess = Math.max(0, (w?.seconds ?? 0) - mean * this.holdS(spec)) / drainS;
+      // What is usually left of the work under way: half of each task on average. One job's length must not stand for all: the oldest
+      // live job is often the longest, and would hide a backlog for as long as it lives.
+      const usual = (mean * (load?.holdS ?? 0)) / 2;
+      const excess = Math.max(0, (w?.seconds ?? 0) - usual) / drainS;
       const shape = blend(
         load?.shape ?? spec,
         mean + margin,
@@ -377,6 +390,7 @@
     const out: { machine: Machine; why: Drain }[] = [];
     const deafMayGo = this.deafAreFew();
     const manySilent = this.zonesWithManySilent(now);
+    const holdsUp = this.holdersUp(now);
     for (const m of cluster.machines.values()) {
       const bootMs = (m.type?.bootS ?? 60) * 1000;
       if (m.upAt === null) {
@@ -388,6 +402,10 @@
         out.push({ machine: m, why: 'missing' });
         continue;
       }
+      if (holdsUp.has(m)) {
+        out.push({ machine: m, why: 'silent' });
+        continue;
+      }
       const silent = now - m.lastReport;
       if (silent > cluster.timing.silentMs) {
         if (this.deadLongEnough(m, manySilent, now)) out.push({ machine: m, why: 'silent' });
@@ -453,6 +471,43 @@
     return silent > Math.max(workerLeaseMs * 2, (m.type?.bootS ?? 0) * 1000 + workerLeaseMs);
   }
 
+  /**
+   * After a takeover: the last few machines that neither confirm by a command
+   * nor report under the new token, while inherited work that they may hold
+   * waits. Waiting on costs more than what they run, so they are fenced. While
+   * many of a zone are missing, a cut keeps them, and their tasks live on.
+   */
+  private holdersUp(now: number): Set<Machine> {
+    const { cluster } = this;
+    const waitMs = cluster.timing.reportMs * CONFIRM_REPORTS;
+    const late = new Map<string, Machine[]>();
+    const up = new Map<string, number>();
+    for (const m of cluster.machines.values()) {
+      if (m.upAt === null) continue;
+      up.set(m.zone, (up.get(m.zone) ?? 0) + 1);
+      if (!m.inherited) continue;
+      const zone = late.get(m.zone);
+      if (zone) zone.push(m);
+      else late.set(m.zone, [m]);
+    }
+    const out = new Set<Machine>();
+    for (const [zone, machines] of late) {
+      if (machines.length > Math.max(1, (up.get(zone) ?? 0) * MANY_SHARE)) continue;
+      for (const m of machines)
+        if (now - m.lastReport > waitMs && this.waitedFor(m, now)) out.add(m);
+    }
+    return out;
+  }
+
+  /** Inherited work that the machine may hold would fill it, were it free to start elsewhere. */
+  private waitedFor(m: Machine, now: number): boolean {
+    let cpus = 0;
+    for (const job of this.cluster.jobs.values())
+      if (job.inherited && wantsRoom(job, now) && allowed(m, job.spec))
+        cpus += job.ready * job.spec.cpus;
+    return cpus >= (m.type?.cpus ?? 0);
+  }
+
   private zonesWithManySilent(now: number): Set<string> {
     const zones = new Map<string, { up: number; silent: number }>();
     for (const m of this.cluster.machines.values()) {
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -43,6 +43,25 @@
   assert.ok(plans.every((p) => !p.spot));
 });
 
+test('a long job among short ones does not hide their backlog', () => {
+  const rented = (first: number) => {
+    const c = cluster();
+    const r = new Renting(c);
+    let version = 0;
+    const arrive = (tasks: number, estimateS: number) => {
+      const s = spec({ id: `req-${++version}`, tasks, estimateS });
+      r.arrived(s);
+      c.addJob(s, version, 0, false);
+    };
+    arrive(1, first);
+    for (let i = 0; i < 60; i++) arrive(20, 20);
+    return sum(r.plan(0));
+  };
+  const usual = rented(20);
+  assert.ok(usual > 60);
+  assert.ok(Math.abs(rented(600) - usual) < usual * 0.1);
+});
+
 test('a refusal is remembered for its type, zone and kind, longer each time', () => {
   const c = cluster();
   const r = new Renting(c);
