--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -244,8 +244,9 @@
       const flowing = load ? this.flowing(load) : 0;
       const mean = (load?.mean ?? 0) * flowing;
       const margin = Math.sqrt(load?.variance ?? 0) * flowing * this.spreads(spec);
-      // What is usually left of the work under way: half of each task on average. One job's length must not stand for all: the oldest
-      // live job is often the longest, and would hide a backlog for as long as it lives.
+      // What is usually left of the work under way: half of each task on average. One job's length
+      // must not stand for all: the oldest live job is often the longest, and would hide a backlog
+      // for as long as it lives.
       const usual = (mean * (load?.holdS ?? 0)) / 2;
       const excess = Math.max(0, (w?.seconds ?? 0) - usual) / drainS;
       const shape = blend(
