--- a/test/leadership.test.ts
+++ b/test/leadership.test.ts
@@ -75,6 +75,37 @@
   w.stop.abort();
 });
 
+test('a process back in the middle of its own election never takes the dead one’s key for its own', async () => {
+  const w = world();
+  const first = w.node('n-0');
+  await w.clock.advance(50);
+  assert.equal(w.terms.length, 1);
+  // All end; the next election of n-0 is on its way when it ends once more.
+  first.crash();
+  await w.clock.advance(10_000);
+  const second = w.node('n-0', 'n-0-2');
+  second.state.fault = null;
+  const { transact } = second.state;
+  let late: (() => void) | null = null;
+  second.state.transact = (conditions, changes) => {
+    late = () => void transact.call(second.state, conditions, changes);
+    return new Promise(() => {});
+  };
+  await w.clock.advance(200);
+  assert.ok(late);
+  second.crash();
+  const third = w.node('n-0', 'n-0-3');
+  const other = w.node('n-1');
+  (late as () => void)();
+  await w.clock.advance(8000);
+  const record = w.store.entries.get(LEADER_KEY)?.value as { incarnation: string; term: number };
+  assert.ok(['n-0-3', 'n-1-1'].includes(record.incarnation), record.incarnation);
+  assert.equal([third, other].filter((n) => n.leadership.current).length, 1);
+  assert.equal(w.terms.at(-1)?.term, record.term);
+  assert.equal(new Set(w.terms.map((t) => t.term)).size, w.terms.length);
+  w.stop.abort();
+});
+
 test('a renewal that hangs costs neither the proof nor the lease', async () => {
   const w = world();
   const node = w.node('n-0');
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -97,6 +97,27 @@
   assert.equal(asked, 2);
 });
 
+test('once a trouble is over an accepted job is known at every node at once', async () => {
+  const w = world();
+  const nodes = [w.node(), w.node(), w.node()];
+  const [first] = nodes;
+  assert.ok(first);
+  assert.equal((await first.users.submit(bytes())).status, 201);
+  for (const fault of ['refuse', 'lose request', 'lose answer'] as const) {
+    for (const n of nodes) n.state.fault = fault;
+    for (const n of nodes) {
+      const reply = await n.users.query(BODY.id);
+      assert.deepEqual([reply.status, reply.retryAfterS], [503, 1]);
+    }
+    for (const n of nodes) n.state.fault = null;
+    // A process that was away throughout has no memory to rest on, and needs none.
+    for (const n of [...nodes, w.node()]) {
+      assert.equal((await n.users.query(BODY.id)).status, 200);
+      assert.equal((await n.users.submit(bytes())).status, 200);
+    }
+  }
+});
+
 test('cancelled and done never turn into each other, nor into queued', async () => {
   const w = world();
   const { users } = w.node();
