--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,13 +1,14 @@
 import { Job } from './job.js';
 import { type Binding, bindingKey, type Drain, Machine } from './machine.js';
-import type {
-  JobSpec,
-  ListedMachine,
-  MachineReport,
-  MachineType,
-  Order,
-  TaskReport,
-  Team,
+import {
+  EPSILON,
+  type JobSpec,
+  type ListedMachine,
+  type MachineReport,
+  type MachineType,
+  type Order,
+  type TaskReport,
+  type Team,
 } from './model.js';
 import { allowed, type Batch, type Placed } from './placement.js';
 import { Roster } from './roster.js';
@@ -64,6 +65,10 @@
 /** Keeps an answer's one line well below the protocol's 64 KiB. */
 const ORDERS_PER_ANSWER = 250;
 const TOMBSTONES = 2000;
+/** How near its latest start makes work pressing, in lengths of its tasks: by then a part of all room has come free. */
+const LOOK_AHEAD = 0.5;
+/** What an arrival adds to the mean size of its class's jobs. */
+const SIZE_RATE = 0.05;
 /** A later fence is waited for by this many tasks, or for this part of a worker's lease, before it is raised: each raise costs the worker a report. */
 const FENCE_TASKS = 16;
 const FENCE_LEASES = 0.25;
@@ -90,6 +95,8 @@
   private readonly strayTasks = new Map<string, TaskReport[]>();
   /** How far owners' estimates are off, by class: actual over estimated. */
   private readonly ratios = new Map<string, number>();
+  /** Tasks of a job on average, by class. */
+  private readonly sizes = new Map<string, number>();
   /** Something happened that may let a task be placed. */
   stirred = true;
   /** What the last round found no machine for, in its order. */
@@ -136,6 +143,8 @@
     if (this.jobs.has(spec.id)) return null;
     const job = new Job(spec, version, acceptedAt, inherited);
     this.jobs.set(spec.id, job);
+    const size = this.sizes.get(spec.jobClass) ?? spec.tasks;
+    this.sizes.set(spec.jobClass, size + (spec.tasks - size) * SIZE_RATE);
     this.stirred = true;
     return job;
   }
@@ -166,19 +175,28 @@
     return waits.length > 0 ? Math.min(...waits) : null;
   }
 
-  /** How many of its class's aims the job has missed or can't meet any more. */
-  missedAims(job: Job, now: number): number {
-    const { spec } = job;
+  /**
+   * What leaving the job to wait is about to cost, for each CPU second that it
+   * needs. Each of its class's aims that it can still meet counts, and the
+   * more the nearer the latest start for it; what it can't meet any more
+   * costs nothing. Aims on waiting count tasks, the others whole jobs.
+   */
+  pressure(job: Job, now: number): number {
+    const { spec, ready } = job;
     const aims = this.aims.classes.get(spec.jobClass);
     if (!aims) return 0;
     const age = this.ageMs(job, now) / 1000;
-    const end = age + this.estimateS(spec);
-    let missed = 0;
-    for (const s of aims.waits) if (age > s) missed++;
-    for (const s of aims.finishes) if (end > s) missed++;
+    const estimate = this.estimateS(spec);
+    const near = (latestStart: number) =>
+      latestStart >= age ? Math.exp((age - latestStart) / (estimate * LOOK_AHEAD)) : 0;
+    let whole = 0;
+    for (const s of aims.finishes) whole += near(s - estimate);
     if (spec.deadlineS !== null)
-      for (const times of aims.deadlines) if (end > spec.deadlineS * times) missed++;
-    return missed;
+      for (const times of aims.deadlines) whole += near(spec.deadlineS * times - estimate);
+    let tasks = 0;
+    for (const s of aims.waits) tasks += near(s);
+    const usual = this.sizes.get(spec.jobClass) ?? spec.tasks;
+    return (whole + (tasks * ready) / usual) / Math.max(EPSILON, ready * spec.cpus * estimate);
   }
 
   estimateS(spec: JobSpec): number {
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -11,6 +11,8 @@
 const BEGIN_WITHIN_MS = 240_000;
 /** From this part of it on a job that has not begun goes first with one task. */
 const AGED = 0.5;
+/** Below this step of pressure no aim is near enough to matter. */
+const LEAST_PRESS = -50;
 /** About this part of the machines may be held free for such tasks at a time. */
 const HELD_SHARE = 0.1;
 
@@ -18,7 +20,8 @@
 export interface Batch {
   spec: JobSpec;
   guaranteed: boolean;
-  missed: number;
+  /** What waiting costs its jobs, in steps of a factor of two. */
+  press: number;
   /** The first task of a job that has waited for too long. */
   aged: boolean;
   jobs: Job[];
@@ -65,57 +68,57 @@
   }
 }
 
-function likeKey(job: Job, missed: number): string {
+function likeKey(job: Job, press: number): string {
   const s = job.spec;
-  return `${missed}|${s.rank}|${job.guaranteed}|${s.team}|${s.image}|${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types}|${s.zone}|${s.spot}|${s.oneZone || s.spread ? s.id : ''}`;
+  return `${press}|${s.rank}|${job.guaranteed}|${s.team}|${s.image}|${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types}|${s.zone}|${s.spot}|${s.oneZone || s.spread ? s.id : ''}`;
 }
 
 /**
  * One pooled ready list: rank first, then work within its team's guarantee,
- * then arrival. When more is asked than can be done, strict arrival would make
- * everybody late: a job that has missed aims lets those pass that can still
- * meet theirs, and among equals the one goes first that the least is left of,
- * so that as many as can be are in time. Nothing starves by that: a job that
- * has not begun for long goes before everything with one task.
+ * then what waiting is about to cost. When more is asked than can be done,
+ * strict arrival would make everybody late, and so would letting only what
+ * has missed nothing pass: work that waited a little would miss every later
+ * aim as well. Jobs that can't meet any aim any more come last, the one with
+ * the least left first. Nothing starves by that: a job that has not begun for
+ * long goes before everything with one task.
  */
 function readyBatches(cluster: Cluster, now: number): Batch[] {
   const byArrival = [...cluster.jobs.values()].sort((a, b) => a.version - b.version);
   markGuaranteed(cluster, byArrival, now);
-  const ready: { job: Job; missed: number; work: number }[] = [];
+  const ready: { job: Job; pressure: number; work: number }[] = [];
   const aged: Batch[] = [];
   for (const job of byArrival) {
     if (!isReady(cluster, job, now)) continue;
-    const missed = cluster.missedAims(job, now);
+    const pressure = cluster.pressure(job, now);
     const work = job.ready * job.spec.cpus * cluster.estimateS(job.spec);
     if (!job.begun && cluster.ageMs(job, now) > BEGIN_WITHIN_MS * AGED)
-      aged.push(batchOf(job, missed, true));
-    else ready.push({ job, missed, work });
+      aged.push(batchOf(job, LEAST_PRESS, true));
+    else ready.push({ job, pressure, work });
   }
-  ready.sort((a, b) => a.work - b.work);
+  ready.sort((a, b) => b.pressure - a.pressure || a.work - b.work);
   const batches = new Map<string, Batch>();
-  for (const { job, missed } of ready) {
-    const key = likeKey(job, missed);
+  for (const { job, pressure } of ready) {
+    const press = Math.max(LEAST_PRESS, Math.ceil(Math.log2(pressure)));
+    const key = likeKey(job, press);
     const batch = batches.get(key);
     if (batch) {
       batch.jobs.push(job);
       batch.count += job.ready;
-    } else batches.set(key, batchOf(job, missed, false));
+    } else batches.set(key, batchOf(job, press, false));
   }
-  // The sort is stable: beyond this, what is left to do decides.
+  // The sort is stable: beyond this, the order of the jobs decides.
   const rest = [...batches.values()].sort(
     (a, b) =>
-      a.spec.rank - b.spec.rank ||
-      Number(b.guaranteed) - Number(a.guaranteed) ||
-      a.missed - b.missed,
+      a.spec.rank - b.spec.rank || Number(b.guaranteed) - Number(a.guaranteed) || b.press - a.press,
   );
   return [...aged, ...rest];
 }
 
-function batchOf(job: Job, missed: number, aged: boolean): Batch {
+function batchOf(job: Job, press: number, aged: boolean): Batch {
   return {
     spec: job.spec,
     guaranteed: job.guaranteed === true,
-    missed,
+    press,
     aged,
     jobs: [job],
     count: aged ? 1 : job.ready,
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -23,6 +23,27 @@
   ]);
 });
 
+test('work about to miss an aim goes before fresh work, and what can meet none goes last', () => {
+  const c = cluster();
+  joined(c, new ScriptedWorker('n-1'), 0);
+  // Each is started in 20 s at the latest for the aim on its end.
+  c.aims.classes.set('work', { waits: [6, 60], finishes: [120], deadlines: [] });
+  const shape = { tasks: 1, cpus: 4 };
+  const now = 158_000;
+  c.addJob(spec({ ...shape, id: 'req-000001' }), 1, now - 110_000, false);
+  // When only what had missed nothing went first, this one missed all later aims behind fresh work.
+  c.addJob(spec({ ...shape, id: 'req-000002' }), 2, now - 58_000, false);
+  c.addJob(spec({ ...shape, id: 'req-000003' }), 3, now - 30_000, false);
+  c.addJob(spec({ ...shape, id: 'req-000004' }), 4, now - 1000, false);
+  c.report({ ...new ScriptedWorker('n-1').report(), term: 1, seq: 9 }, true, now);
+  assert.deepEqual(names(round(c, 32, now)), [
+    'req-000002',
+    'req-000004',
+    'req-000003',
+    'req-000001',
+  ]);
+});
+
 test('like tasks of several jobs form one batch, which goes where it fits best', () => {
   const c = cluster();
   const busy = joined(c, new ScriptedWorker('n-1'), 0);
