Look further ahead for aims; silence before a list's asking; answers for all that cancel_s leaves

What counts is the silence at the time of the asking. Test in troubles. - A leader without the state service stopped answering one report interval and a tenth too early: a lease runs from the sending of its report, so a late answer extends it by less, not more.

--- a/src/config/timing.ts
+++ b/src/config/timing.ts
@@ -53,8 +53,8 @@
     leaseMs,
     renewMs: leaseMs * 0.25,
     provenMs: leaseMs * 0.75 * (1 - DRIFT),
-    // The worker's lease runs from the sending of a report that may itself be four seconds old (its time-out); a tenth more covers drift and our own lateness.
-    answerMs: Math.max(0, (cancelMs - workerLeaseMs) * 0.9 - reportMs),
+    // An answer extends the worker's lease only from when its report was sent, so a late one extends it by less; a twentieth covers drift.
+    answerMs: Math.max(0, (cancelMs - workerLeaseMs) * 0.95),
     stateTimeoutMs: reportMs * 0.4,
     watchMs: reportMs * 2,
     userTimeoutMs: reportMs * 0.8,
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -65,13 +65,17 @@
 /** Keeps an answer's one line well below the protocol's 64 KiB. */
 const ORDERS_PER_ANSWER = 250;
 const TOMBSTONES = 2000;
-/** How near its latest start makes work pressing, in lengths of its tasks: by then a part of all room has come free. */
-const LOOK_AHEAD = 0.5;
+/** How near its latest start makes work pressing, in lengths of its tasks: in that time most of all room comes free. */
+const LOOK_AHEAD = 1.5;
+/** The longest task of an array, and the owner's estimate being off, in estimates. */
+const LONGEST = 1.5;
 /** What an arrival adds to the mean size of its class's jobs. */
 const SIZE_RATE = 0.05;
 /** A later fence is waited for by this many tasks, or for this part of a worker's lease, before it is raised: each raise costs the worker a report. */
 const FENCE_TASKS = 16;
 const FENCE_LEASES = 0.25;
+/** Intervals without a report, with their jitter, that show one to be missed. */
+const MISSED_REPORTS = 1.5;
 /** Answers in a row whose starts show no effect before a machine counts as deaf. */
 const LOST_ANSWERS = 2;
 /** A task expected to need this many times the notice is not worth the hope. */
@@ -189,10 +193,11 @@
     const estimate = this.estimateS(spec);
     const near = (latestStart: number) =>
       latestStart >= age ? Math.exp((age - latestStart) / (estimate * LOOK_AHEAD)) : 0;
+    const longest = estimate * LONGEST;
     let whole = 0;
-    for (const s of aims.finishes) whole += near(s - estimate);
+    for (const s of aims.finishes) whole += near(s - longest);
     if (spec.deadlineS !== null)
-      for (const times of aims.deadlines) whole += near(spec.deadlineS * times - estimate);
+      for (const times of aims.deadlines) whole += near(spec.deadlineS * times - longest);
     let tasks = 0;
     for (const s of aims.waits) tasks += near(s);
     const usual = this.sizes.get(spec.jobClass) ?? spec.tasks;
@@ -741,12 +746,15 @@
         m.idleSince = now;
       }
     }
+    const missedMs = this.timing.reportMs * MISSED_REPORTS;
     for (const m of [...this.machines.values()]) {
       if (seen.has(m.id) || m.lastReport >= askedAt) continue;
       // What is listed stays listed until it is gone, and by now this one would have been listed.
       if (askedAt > m.knownAt + this.timing.listProofMs)
         this.machineGone(m.id, 'absent from the list');
-      else if (m.rostered) m.missing = true;
+      // A young one may be up before the list shows it, and what was heard until the asking counts:
+      // the answer may have waited while we stood still.
+      else if (m.rostered && (m.inherited || askedAt - m.lastReport > missedMs)) m.missing = true;
     }
   }
 }
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -91,6 +91,29 @@
   await assert.rejects(client.request('GET', '/', undefined, 5000), NotSent);
 });
 
+test('what waited until its sender was no longer entitled does not leave', async () => {
+  let served = 0;
+  let entitled = true;
+  const handler: Handler = () => {
+    served++;
+    entitled = false;
+    return { status: 200, body: {} };
+  };
+  await serving(handler, async (port) => {
+    const client = new HttpClient({ host: '127.0.0.1', port }, { connections: 1, bodyLimit: 1000 });
+    const fit = () => entitled;
+    const first = client.request('POST', '/', {}, 5000, undefined, fit);
+    // Waits for the only connection while the process stands still and its proof runs out.
+    const second = client.request('POST', '/', {}, 5000, undefined, fit);
+    assert.equal((await first).status, 200);
+    await assert.rejects(second, NotSent);
+    assert.equal(served, 1);
+    entitled = true;
+    assert.equal((await client.request('POST', '/', {}, 5000, undefined, fit)).status, 200);
+    client.close();
+  });
+});
+
 test('an answer that is cut off or is not JSON is no answer', async () => {
   const replies = [
     'HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{"half":',
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -26,7 +26,7 @@
 test('work about to miss an aim goes before fresh work, and what can meet none goes last', () => {
   const c = cluster();
   joined(c, new ScriptedWorker('n-1'), 0);
-  // Each is started in 20 s at the latest for the aim on its end.
+  // Each is to start by its age of 90 s for the aim on its end.
   c.aims.classes.set('work', { waits: [6, 60], finishes: [120], deadlines: [] });
   const shape = { tasks: 1, cpus: 4 };
   const now = 158_000;
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -159,6 +159,38 @@
   assert.deepEqual(new Renting(d).returns(8500), []);
 });
 
+test('a leader that stood still under a kept lease takes no healthy machine for silent or missing', () => {
+  const c = cluster();
+  const r = new Renting(c);
+  const workers = Array.from({ length: 6 }, (_, i) =>
+    joined(c, new ScriptedWorker(`n-${i}`, i < 3 ? 'a' : 'b'), 0),
+  );
+  const young = joined(c, new ScriptedWorker('n-8'), 900);
+  const entry = (w: ScriptedWorker) => ({
+    id: w.id,
+    address: '',
+    type: 'm16',
+    zone: w.zone,
+    spot: false,
+    state: 'running' as const,
+    ageS: 100,
+  });
+  // The list was asked for just before, and does not show the newest machine yet.
+  const shown = workers.map(entry);
+  const woken = 30_000;
+  c.listed(shown, 1000, woken);
+  assert.deepEqual(r.returns(woken), []);
+  for (const [i, w] of [...workers, young].entries()) {
+    beat(c, w, woken + 100 * i);
+    assert.deepEqual(r.returns(woken + 100 * i), []);
+  }
+  // Up within a second or two and heard all the while, but not listed yet.
+  joined(c, new ScriptedWorker('n-9'), woken + 900);
+  c.listed([...workers, young].map(entry), woken + 1000, woken + 1100);
+  assert.deepEqual(r.returns(woken + 1200), []);
+  assert.ok(c.machines.has('n-9'));
+});
+
 test('a node that hears neither state service nor peers says that it is unhealthy, and in an outage it does not', async () => {
   const clock = new FakeClock();
   const { timing, types } = context('n-0', new FakeState(new FakeStore(clock)), clock);
