What leads no longer waits behind users; no connection lost to the pool; sockets by need

Now what leads has a priority and connections of its own, and questions come after ends; a new connection goes to whoever waits when it stands; commands keep to a tenth of the sockets, and a full server gives up what was idle for longest. Each has a test.

--- a/src/clients/budget.ts
+++ b/src/clients/budget.ts
@@ -1,5 +1,10 @@
-/** What a request is for; smaller goes first when the budget is short. */
-export const Priority = { lease: 0, users: 1, ends: 2, progress: 3 } as const;
+/**
+ * What a request is for; smaller goes first when the budget is short. What
+ * leads goes before everything: users who ask without end because nobody
+ * leads must not be what keeps anybody from leading. Questions come after the
+ * ends of jobs, which are what stops them.
+ */
+export const Priority = { lead: 0, users: 1, ends: 2, questions: 3, progress: 4 } as const;
 export type Priority = (typeof Priority)[keyof typeof Priority];
 
 /**
@@ -25,7 +30,7 @@
     const reserve = Math.min(this.burst * 0.5, this.burst * 0.15 * priority);
     // A transaction larger than the burst could never pass; it runs the bucket into debt instead.
     const need = Math.min(count, this.burst - reserve) + reserve;
-    if (this.tokens >= need || priority === Priority.lease) {
+    if (this.tokens >= need || priority === Priority.lead) {
       this.tokens -= count;
       return 0;
     }
--- a/src/clients/state.ts
+++ b/src/clients/state.ts
@@ -39,7 +39,6 @@
   requestsPerS: number;
   changesPerS: number;
   timeoutMs: number;
-  connections: number;
   clock: Clock;
 }
 
@@ -72,9 +71,13 @@
 /** The largest page that a list answers, with room for its frame. */
 const LIST_LIMIT = 500;
 const BODY_LIMIT = 4 * 1024 * 1024;
+/** Connections for each request a second: enough while answers take up to this many seconds. */
+const CONNECTIONS = 0.3;
 
 export class StateClient implements StateService {
   private readonly http: HttpClient;
+  /** For what leads: it must not stand in line behind users for a connection while the service is slow. */
+  private readonly leading: HttpClient;
   private readonly watches: HttpClient;
   private readonly requests: Budget;
   private readonly changes: Budget;
@@ -88,10 +91,9 @@
 
   constructor(private readonly options: StateOptions) {
     const { requestsPerS, changesPerS, clock } = options;
-    this.http = new HttpClient(options.address, {
-      connections: options.connections,
-      bodyLimit: BODY_LIMIT,
-    });
+    const connections = Math.ceil(requestsPerS * CONNECTIONS);
+    this.http = new HttpClient(options.address, { connections, bodyLimit: BODY_LIMIT });
+    this.leading = new HttpClient(options.address, { connections, bodyLimit: BODY_LIMIT });
     this.watches = new HttpClient(options.address, { connections: 4, bodyLimit: BODY_LIMIT });
     this.requests = new Budget(requestsPerS, requestsPerS, clock.now());
     this.changes = new Budget(changesPerS, changesPerS, clock.now());
@@ -104,7 +106,7 @@
 
   async listPage(prefix: string, after: string | null, signal?: AbortSignal) {
     const target = listTarget(prefix, after, LIST_LIMIT);
-    return parsePage((await this.call('GET', target, undefined, Priority.ends, 0, signal)).body);
+    return parsePage((await this.call('GET', target, undefined, Priority.lead, 0, signal)).body);
   }
 
   async transact(
@@ -131,22 +133,20 @@
 
   async grant(ttlMs: number, signal?: AbortSignal): Promise<number> {
     const body = grantBody(Math.round(ttlMs));
-    return parseLease(
-      (await this.call('POST', PATHS.leases, body, Priority.lease, 0, signal)).body,
-    );
+    return parseLease((await this.call('POST', PATHS.leases, body, Priority.lead, 0, signal)).body);
   }
 
   async touch(lease: number, signal?: AbortSignal): Promise<boolean> {
     const target = leaseTarget(lease, true);
-    return (await this.call('POST', target, {}, Priority.lease, 0, signal)).status === 200;
+    return (await this.call('POST', target, {}, Priority.lead, 0, signal)).status === 200;
   }
 
   async revoke(lease: number, signal?: AbortSignal): Promise<void> {
-    await this.call('DELETE', leaseTarget(lease, false), undefined, Priority.lease, 0, signal);
+    await this.call('DELETE', leaseTarget(lease, false), undefined, Priority.lead, 0, signal);
   }
 
   async watch(prefix: string, after: number, waitMs: number, signal?: AbortSignal) {
-    await this.spend(Priority.users, 0, signal);
+    await this.spend(Priority.lead, 0, signal);
     const answer = await this.watches.request(
       'GET',
       watchTarget(prefix, after, Math.round(waitMs)),
@@ -160,6 +160,7 @@
 
   close(): void {
     this.http.close();
+    this.leading.close();
     this.watches.close();
   }
 
@@ -173,9 +174,10 @@
   ): Promise<Answer> {
     await this.spend(priority, changes, signal);
     this.triedAt = this.options.clock.now();
+    const client = priority === Priority.lead ? this.leading : this.http;
     try {
       const answer = this.check(
-        await this.http.request(method, target, body, this.options.timeoutMs, signal),
+        await client.request(method, target, body, this.options.timeoutMs, signal),
       );
       this.troubleSince = null;
       this.silentSince = null;
--- a/src/clients/worker.ts
+++ b/src/clients/worker.ts
@@ -1,6 +1,6 @@
 import { splitAddress } from '../config/settings.js';
 import type { MachineReport, Order } from '../core/model.js';
-import { HttpClient } from '../http/client.js';
+import { HttpClient, NotSent } from '../http/client.js';
 import { commandsBody, PATHS, parseReport } from '../protocol/wire.js';
 
 export interface CommandAnswer {
@@ -11,11 +11,19 @@
 
 const BODY_LIMIT = 4 * 1024 * 1024;
 
-/** Sends commands straight to workers, over one kept connection each. */
+/**
+ * Sends commands straight to workers, over one kept connection each as far as
+ * the sockets go: every worker has one to this node already, and without a
+ * bound the two together left none for the state service.
+ */
 export class WorkerClient {
+  /** The least recently used first. */
   private readonly clients = new Map<string, HttpClient>();
 
-  constructor(private readonly timeoutMs: number) {}
+  constructor(
+    private readonly timeoutMs: number,
+    private readonly sockets: number,
+  ) {}
 
   async command(
     address: string,
@@ -25,15 +33,7 @@
     signal: AbortSignal,
     fit: () => boolean,
   ): Promise<CommandAnswer> {
-    let client = this.clients.get(address);
-    if (!client) {
-      client = new HttpClient(splitAddress(address), {
-        connections: 1,
-        bodyLimit: BODY_LIMIT,
-      });
-      this.clients.set(address, client);
-    }
-    const answer = await client.request(
+    const answer = await this.client(address).request(
       'POST',
       PATHS.commands,
       commandsBody(token, session, orders),
@@ -44,6 +44,27 @@
     return { executed: answer.status === 200, report: parseReport(answer.body) };
   }
 
+  private client(address: string): HttpClient {
+    let client = this.clients.get(address);
+    if (client) this.clients.delete(address);
+    else {
+      if (this.clients.size >= this.sockets) this.makeRoom();
+      client = new HttpClient(splitAddress(address), { connections: 1, bodyLimit: BODY_LIMIT });
+    }
+    this.clients.set(address, client);
+    return client;
+  }
+
+  private makeRoom(): void {
+    for (const [address, client] of this.clients) {
+      if (!client.resting) continue;
+      client.close();
+      this.clients.delete(address);
+      return;
+    }
+    throw new NotSent('every socket for commands is in use');
+  }
+
   /** What the machine itself says now: no late copy can stand for the answer to one's own question. */
   static async show(address: string, timeoutMs: number): Promise<MachineReport> {
     const client = new HttpClient(splitAddress(address), {
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -76,6 +76,9 @@
 /** A round's own time is followed by this many times as much for everything else. */
 const ROUND_REST = 8;
 
+/** Connections kept for commands to machines, as a part of the sockets; what finds none goes with the answer to a report. */
+const COMMAND_SOCKETS = 0.1;
+
 /** Machines confirmed at the same time after a takeover, as a part of the sockets: one that is gone keeps its lane until it times out. */
 const CONFIRM_SOCKETS = 0.03;
 
@@ -137,7 +140,10 @@
     );
     this.renting = new Renting(this.cluster);
     this.cluster.onGone = (m) => this.renting.freed(m, ctx.clock.now());
-    this.workers = new WorkerClient(ctx.timing.commandTimeoutMs);
+    this.workers = new WorkerClient(
+      ctx.timing.commandTimeoutMs,
+      Math.ceil(ctx.platform.settings.quota.max_sockets * COMMAND_SOCKETS),
+    );
     setMaxListeners(0, term.signal);
     term.signal.addEventListener('abort', () => this.workers.close(), { once: true });
   }
@@ -226,7 +232,7 @@
     }
     const live = await this.readAll(LIVE);
     // What was expected before goes on; jobs that arrived since it was written add to it.
-    const entry = await this.insist((s) => ctx.state.get(LOADS_KEY, Priority.ends, s));
+    const entry = await this.insist((s) => ctx.state.get(LOADS_KEY, Priority.lead, s));
     const kept = entry && isObject(entry.value) ? (entry.value as unknown as KeptLoads) : null;
     if (kept && Array.isArray(kept.loads)) {
       this.renting.restore(kept.loads);
--- a/src/duties/leadership.ts
+++ b/src/duties/leadership.ts
@@ -115,7 +115,7 @@
 
   private async stand(signal: AbortSignal): Promise<void> {
     const { ctx } = this;
-    const old = await ctx.state.get(TERM_KEY, Priority.lease, signal);
+    const old = await ctx.state.get(TERM_KEY, Priority.lead, signal);
     const term = (typeof old?.value === 'number' ? old.value : 0) + 1;
     const grantedAt = ctx.clock.now();
     const lease = await ctx.state.grant(ctx.timing.leaseMs, signal);
@@ -131,7 +131,7 @@
           { op: 'put', key: LEADER_KEY, value: record, lease },
           { op: 'put', key: TERM_KEY, value: term },
         ],
-        Priority.lease,
+        Priority.lead,
         signal,
       );
       if (!result.ok) {
@@ -142,7 +142,7 @@
     } catch {
       // Neither outcome may be believed before it is read back; the next turn does so.
       await ctx.clock.sleep(ctx.timing.renewMs * 0.2, signal);
-      const entry = await ctx.state.get(LEADER_KEY, Priority.lease, signal);
+      const entry = await ctx.state.get(LEADER_KEY, Priority.lead, signal);
       const found = entry ? parseRecord(entry.value) : null;
       if (!entry || found?.incarnation !== ctx.incarnation || found.term !== term) {
         await ctx.state.revoke(lease, signal);
--- a/src/duties/node.ts
+++ b/src/duties/node.ts
@@ -19,7 +19,7 @@
 import { Users, unavailable } from './users.js';
 
 /** Sockets kept free for the state service, the cloud, peers and workers' addresses, as a part of the limit. */
-const OWN_SOCKETS = 0.25;
+const OWN_SOCKETS = 0.2;
 
 /** One controller: its sockets and its long-lived duties, until the signal ends them. */
 export class Node {
@@ -48,7 +48,6 @@
       requestsPerS: (state.rps * 0.9) / Math.max(1, size),
       changesPerS: state.write_rps * 0.6,
       timeoutMs: timing.stateTimeoutMs,
-      connections: 16,
       clock,
     });
     this.cloud = new CloudClient({
@@ -116,6 +115,8 @@
         maxConnections: Math.floor(this.platform.settings.quota.max_sockets * (1 - OWN_SOCKETS)),
         requestMs: ctx.timing.userTimeoutMs * 2,
         idleMs: ctx.timing.workerLeaseMs * 3,
+        // Workers and users that are still there are heard more often.
+        spareMs: ctx.timing.silentMs * 0.5,
         onError: (error) => ctx.log.error({ error: String((error as Error).stack) }, 'request'),
       },
       signal,
--- a/src/duties/types.ts
+++ b/src/duties/types.ts
@@ -12,7 +12,7 @@
   signal: AbortSignal,
 ): Promise<MachineType[]> {
   try {
-    const entry = await ctx.state.get(TYPES_KEY, Priority.ends, signal);
+    const entry = await ctx.state.get(TYPES_KEY, Priority.lead, signal);
     if (entry && Array.isArray(entry.value) && entry.value.length > 0)
       return entry.value as MachineType[];
   } catch (error) {
--- a/src/duties/users.ts
+++ b/src/duties/users.ts
@@ -45,8 +45,8 @@
   ) {}
 
   /** The live key is looked up first: an end moves it, so a job can't slip between the two reads. */
-  private async lookup(id: string): Promise<Known | null> {
-    const live = await this.ctx.state.get(liveKey(id), Priority.users);
+  private async lookup(id: string, priority: Priority = Priority.users): Promise<Known | null> {
+    const live = await this.ctx.state.get(liveKey(id), priority);
     if (live) {
       const record = live.value as LiveRecord;
       const running = (this.counts(id)?.running ?? 0) > 0;
@@ -57,7 +57,7 @@
         live: true,
       };
     }
-    const over = await this.ctx.state.get(overKey(id), Priority.users);
+    const over = await this.ctx.state.get(overKey(id), priority);
     if (!over) return null;
     const record = over.value as OverRecord;
     return { standing: record.state, tasks: record.tasks, version: over.version, live: false };
@@ -116,7 +116,7 @@
   async query(id: string): Promise<Reply> {
     if (!JOB_ID.test(id)) return refuse(404, 'no such job');
     try {
-      const known = await this.lookup(id);
+      const known = await this.lookup(id, Priority.questions);
       if (!known) return refuse(404, 'no such job');
       const counts = known.live ? this.counts(id) : null;
       const done = known.standing === 'done' ? known.tasks : (counts?.done ?? 0);
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -82,6 +82,11 @@
     }
   }
 
+  /** No request is under way or waits. */
+  get resting(): boolean {
+    return this.waiting.length === 0 && this.open === this.idle.length;
+  }
+
   close(): void {
     this.closed = true;
     for (const c of this.idle) c.socket.destroy();
@@ -154,12 +159,17 @@
     });
   }
 
-  /** A slot came free by a close: whoever waits may open a new connection. */
+  /**
+   * A slot came free by a close: whoever waits may open a new connection. By
+   * the time that it stands its waiter may have given up; a connection handed
+   * to nobody would be lost to the pool for good.
+   */
   private serveWaiting(): void {
-    const waiter = this.waiting[0];
-    if (!waiter || this.closed || this.open >= this.options.connections) return;
-    this.waiting.shift();
-    this.connect(Date.now() + 1000).then(waiter.resolve, waiter.reject);
+    if (this.waiting.length === 0 || this.closed || this.open >= this.options.connections) return;
+    this.connect(Date.now() + 1000).then(
+      (conn) => this.release(conn),
+      (error) => this.waiting.shift()?.reject(error),
+    );
   }
 
   private exchange(
@@ -220,6 +230,7 @@
   private release(conn: Pooled): void {
     const waiter = this.waiting.shift();
     if (waiter) waiter.resolve(conn);
+    else if (this.closed) conn.socket.destroy();
     else this.idle.push(conn);
   }
 }
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -14,12 +14,14 @@
   host: string;
   port: number;
   handler: Handler;
-  /** More connections than this are closed at once, so that sockets stay free for our own calls. */
+  /** Beyond this many connections the one idle for longest goes, so that sockets stay free for our own calls. */
   maxConnections: number;
   /** How long a request may take to arrive, and a reply to be taken. */
   requestMs: number;
   /** How long a connection may stay idle. */
   idleMs: number;
+  /** One that was idle for less is not closed for a new one: the new one is refused. */
+  spareMs: number;
   onError: (error: unknown) => void;
 }
 
@@ -48,12 +50,58 @@
   return `${head}\r\n${body}`;
 }
 
+/**
+ * The connections that stand. Workers that went elsewhere in a takeover and
+ * users that are done leave theirs behind; a full node that refused whoever
+ * comes next would keep those and turn away its own machines.
+ */
+class Connections {
+  /** Idle since, the longest first; null while a request is served. */
+  private readonly since = new Map<net.Socket, number | null>();
+
+  constructor(
+    private readonly most: number,
+    private readonly spareMs: number,
+  ) {}
+
+  admit(socket: net.Socket): boolean {
+    const now = Date.now();
+    if (this.since.size >= this.most) {
+      let left: net.Socket | null = null;
+      for (const [other, since] of this.since) {
+        if (since === null) continue;
+        if (now - since >= this.spareMs) left = other;
+        break;
+      }
+      if (!left) return false;
+      this.leave(left);
+      left.destroy();
+    }
+    this.since.set(socket, now);
+    return true;
+  }
+
+  busy(socket: net.Socket): void {
+    if (this.since.has(socket)) this.since.set(socket, null);
+  }
+
+  rests(socket: net.Socket): void {
+    if (!this.since.delete(socket)) return;
+    this.since.set(socket, Date.now());
+  }
+
+  leave(socket: net.Socket): void {
+    this.since.delete(socket);
+  }
+}
+
 /** Serves until the signal ends it. Resolves once listening. */
 export function serve(options: ServerOptions, signal: AbortSignal): Promise<net.Server> {
+  const open = new Connections(options.maxConnections, options.spareMs);
   const server = net.createServer({ noDelay: true }, (socket) => {
-    void connection(socket, options, signal);
+    if (open.admit(socket)) void connection(socket, options, open, signal);
+    else socket.destroy();
   });
-  server.maxConnections = options.maxConnections;
   signal.addEventListener('abort', () => server.close(), { once: true });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
@@ -69,6 +117,7 @@
 async function connection(
   socket: net.Socket,
   options: ServerOptions,
+  open: Connections,
   signal: AbortSignal,
 ): Promise<void> {
   const parser = new Parser('request', REQUEST_LIMITS);
@@ -76,7 +125,10 @@
   const stop = () => socket.destroy();
   signal.addEventListener('abort', stop, { once: true });
   socket.on('error', () => socket.destroy());
-  socket.once('close', () => gone.abort());
+  socket.once('close', () => {
+    open.leave(socket);
+    gone.abort();
+  });
   // Armed by time since the last byte while idle, and by time since the request began while one arrives.
   let timer = setTimeout(stop, options.idleMs);
   const arm = (ms: number) => {
@@ -99,6 +151,7 @@
       arriving = parser.busy;
       for (const request of messages) {
         clearTimeout(timer);
+        open.busy(socket);
         let reply: Reply;
         try {
           reply = await options.handler(request, gone.signal);
@@ -117,6 +170,7 @@
         // A peer that never reads must not make us hold its replies.
         if (socket.writableLength > REQUEST_LIMITS.body * 2) return void socket.destroy();
         arm(options.idleMs);
+        open.rests(socket);
       }
     }
   } catch {
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -1,20 +1,29 @@
 import assert from 'node:assert/strict';
 import type { AddressInfo } from 'node:net';
 import net from 'node:net';
-import { test } from 'node:test';
+import { mock, test } from 'node:test';
+import { Budget, Priority } from '../src/clients/budget.js';
+import { StateClient } from '../src/clients/state.js';
+import { WorkerClient } from '../src/clients/worker.js';
 import { HttpClient, NotSent } from '../src/http/client.js';
 import { type Handler, serve } from '../src/http/server.js';
+import { FakeClock } from './support/clock.js';
 
-async function serving(handler: Handler, body: (port: number) => Promise<void>): Promise<void> {
+async function serving(
+  handler: Handler,
+  body: (port: number) => Promise<void>,
+  maxConnections = 10,
+): Promise<void> {
   const stop = new AbortController();
   const server = await serve(
     {
       host: '127.0.0.1',
       port: 0,
       handler,
-      maxConnections: 10,
+      maxConnections,
       requestMs: 60_000,
       idleMs: 60_000,
+      spareMs: 0,
       onError: () => {},
     },
     stop.signal,
@@ -38,6 +47,35 @@
   });
 }
 
+// First, since the mocked timers would leave those of other tests' sockets running.
+test('a connection that stands after its waiter has given up is not lost to the pool', async () => {
+  let first: net.Socket | null = null;
+  const server = net.createServer((socket) => {
+    if (first)
+      socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'));
+    first ??= socket;
+  });
+  server.listen(0, '127.0.0.1');
+  await new Promise((resolve) => server.once('listening', resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpClient({ host: '127.0.0.1', port }, { connections: 1, bodyLimit: 1000 });
+  mock.timers.enable({ apis: ['setTimeout', 'Date'] });
+  try {
+    const broken = client.request('POST', '/', {}, 5000);
+    const impatient = client.request('POST', '/', {}, 500);
+    server.once('connection', (socket) => socket.once('data', () => socket.destroy()));
+    await assert.rejects(broken);
+    // The next connection is on its way when the request that it was meant for gives up.
+    mock.timers.tick(500);
+    await assert.rejects(impatient, NotSent);
+    assert.equal((await client.request('POST', '/', {}, 5000)).status, 200);
+  } finally {
+    mock.timers.reset();
+    client.close();
+    server.close();
+  }
+});
+
 test('client and server keep one connection for several requests', async () => {
   const ports = new Set<string>();
   await serving(
@@ -114,6 +152,114 @@
   });
 });
 
+test('users who ask without end keep neither budget nor connections from what leads, nor ends from being written', async () => {
+  const budget = new Budget(10, 10, 0);
+  while (budget.take(1, Priority.questions, 0) === 0);
+  assert.equal(budget.take(1, Priority.ends, 0), 0);
+  while (budget.take(1, Priority.users, 0) === 0);
+  assert.equal(budget.take(1, Priority.lead, 0), 0);
+
+  const held: (() => void)[] = [];
+  const handler: Handler = (request) =>
+    request.method === 'POST'
+      ? { status: 200, body: {} }
+      : new Promise((resolve) => held.push(() => resolve({ status: 404, body: {} })));
+  await serving(handler, async (port) => {
+    const state = new StateClient({
+      address: { host: '127.0.0.1', port },
+      requestsPerS: 10,
+      changesPerS: 10,
+      timeoutMs: 60_000,
+      clock: new FakeClock(),
+    });
+    // More than the connections for users.
+    const asked = Array.from({ length: 5 }, () => state.get('live/x', Priority.users));
+    assert.equal(await state.touch(7), true);
+    const drain = async () => {
+      while (held.length > 0) held.pop()?.();
+      await new Promise(setImmediate);
+    };
+    let done = false;
+    const all = Promise.all(asked).then(() => {
+      done = true;
+    });
+    while (!done) await drain();
+    await all;
+    state.close();
+  });
+});
+
+test('commands keep to their sockets: the one at rest goes, and none is cut off', async () => {
+  const answer = {
+    cart: 'n-1',
+    endpoint: 'x:1',
+    rig: 'm',
+    hall: 'a',
+    loaner: false,
+    shift: 1,
+    tally: 1,
+    baton: 1,
+    hands: [],
+  };
+  let release: (() => void) | null = null;
+  const slow: Handler = () =>
+    new Promise((resolve) => {
+      release = () => resolve({ status: 200, body: answer });
+    });
+  await serving(slow, (a) =>
+    serving(
+      () => ({ status: 200, body: answer }),
+      async (b) => {
+        const workers = new WorkerClient(60_000, 1);
+        const send = (port: number) =>
+          workers.command(`127.0.0.1:${port}`, 1, 1, [], new AbortController().signal, () => true);
+        const first = send(a);
+        await assert.rejects(send(b), NotSent);
+        while (!release) await new Promise(setImmediate);
+        release();
+        assert.equal((await first).executed, true);
+        assert.equal((await send(b)).executed, true);
+        workers.close();
+      },
+    ),
+  );
+});
+
+test('a full server gives up the connection that was idle for longest, never one that is served', async () => {
+  let held: (() => void) | null = null;
+  const handler: Handler = (request) =>
+    request.target === '/slow'
+      ? new Promise((resolve) => {
+          held = () => resolve({ status: 200, body: {} });
+        })
+      : { status: 200, body: {} };
+  await serving(
+    handler,
+    async (port) => {
+      const ask = (path: string) => {
+        const socket = net.connect(port, '127.0.0.1', () =>
+          socket.write(`GET ${path} HTTP/1.1\r\nHost: x\r\n\r\n`),
+        );
+        socket.on('error', () => {});
+        const answered = new Promise((resolve) => socket.once('data', resolve));
+        const closed = new Promise((resolve) => socket.once('close', resolve));
+        return { socket, answered, closed };
+      };
+      const served = ask('/slow');
+      while (!held) await new Promise(setImmediate);
+      const idle = ask('/');
+      await idle.answered;
+      const next = ask('/');
+      await Promise.all([next.answered, idle.closed]);
+      held();
+      assert.match(String(await served.answered), /200 OK/);
+      served.socket.destroy();
+      next.socket.destroy();
+    },
+    2,
+  );
+});
+
 test('an answer that is cut off or is not JSON is no answer', async () => {
   const replies = [
     'HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{"half":',
