Confirm machines at the pace of reports; commands wait for sockets, not for deafness

Commands beyond their sockets are sent as others are answered, and a command that this side did not even try no longer makes its machine count as deaf.

--- a/src/clients/worker.ts
+++ b/src/clients/worker.ts
@@ -1,6 +1,6 @@
 import { splitAddress } from '../config/settings.js';
 import type { MachineReport, Order } from '../core/model.js';
-import { HttpClient, NotSent } from '../http/client.js';
+import { HttpClient, NotTried } from '../http/client.js';
 import { commandsBody, PATHS, parseReport } from '../protocol/wire.js';
 
 export interface CommandAnswer {
@@ -62,7 +62,7 @@
       this.clients.delete(address);
       return;
     }
-    throw new NotSent('every socket for commands is in use');
+    throw new NotTried('every socket for commands is in use');
   }
 
   /** What the machine itself says now: no late copy can stand for the answer to one's own question. */
--- a/src/duties/clock.ts
+++ b/src/duties/clock.ts
@@ -37,3 +37,19 @@
     if (!(error instanceof Stopped)) throw error;
   }
 }
+
+/**
+ * Waits until timers are in time again, by half of `stepMs`. After a takeover
+ * hundreds of workers come at once, and each has to be answered before its
+ * lease is over: while a small processor is behind with them, work of our own
+ * choosing would only make them try elsewhere and come back.
+ */
+export async function inTime(clock: Clock, stepMs: number, signal: AbortSignal): Promise<void> {
+  for (;;) {
+    const due = clock.now() + stepMs * 0.1;
+    await clock.sleep(stepMs * 0.1, signal);
+    const late = clock.now() - due;
+    if (late < stepMs * 0.5) return;
+    await clock.sleep(late * 2, signal);
+  }
+}
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -13,10 +13,10 @@
 import { fill, round } from '../core/placement.js';
 import { type Load, Renting, type RentPlan } from '../core/renting.js';
 import type { RosterEntry } from '../core/roster.js';
-import { NotSent } from '../http/client.js';
+import { NotSent, NotTried } from '../http/client.js';
 import type { Entry, StoreEvent } from '../protocol/store.js';
 import { isObject, tokenOf } from '../protocol/wire.js';
-import { Stopped } from './clock.js';
+import { inTime, Stopped } from './clock.js';
 import type { Context, LiveRecord } from './context.js';
 import { LEADER_KEY, type Term } from './leadership.js';
 import { readTypes, storeTypes } from './types.js';
@@ -76,8 +76,8 @@
 /** A round's own time is followed by this many times as much for everything else. */
 const ROUND_REST = 8;
 
-/** Connections kept for commands to machines, as a part of the sockets; what finds none goes with the answer to a report. */
-const COMMAND_SOCKETS = 0.1;
+/** Commands to machines under way at the same time, as a part of the sockets; the connections are kept for the next ones. */
+const COMMAND_SOCKETS = 0.07;
 
 /** Machines confirmed at the same time after a takeover, as a part of the sockets: one that is gone keeps its lane until it times out. */
 const CONFIRM_SOCKETS = 0.03;
@@ -142,12 +142,16 @@
     this.cluster.onGone = (m) => this.renting.freed(m, ctx.clock.now());
     this.workers = new WorkerClient(
       ctx.timing.commandTimeoutMs,
-      Math.ceil(ctx.platform.settings.quota.max_sockets * COMMAND_SOCKETS),
+      this.sockets(COMMAND_SOCKETS) + this.sockets(CONFIRM_SOCKETS),
     );
     setMaxListeners(0, term.signal);
     term.signal.addEventListener('abort', () => this.workers.close(), { once: true });
   }
 
+  private sockets(share: number): number {
+    return Math.ceil(this.ctx.platform.settings.quota.max_sockets * share);
+  }
+
   async run(): Promise<void> {
     const { ctx, term } = this;
     const began = ctx.clock.now();
@@ -353,13 +357,15 @@
    * reports: an answer under it confirms the machine.
    */
   private async confirmAll(signal: AbortSignal): Promise<void> {
+    const { ctx } = this;
     const left = [...this.cluster.machines.values()].filter((m) => m.inherited);
     const lane = async () => {
-      for (let m = left.pop(); m && !signal.aborted; m = left.pop())
+      for (let m = left.pop(); m && !signal.aborted; m = left.pop()) {
+        await inTime(ctx.clock, ctx.timing.roundMs, signal);
         if (m.inherited && m.address !== '') await this.confirm(m, signal);
+      }
     };
-    const lanes = Math.ceil(this.ctx.platform.settings.quota.max_sockets * CONFIRM_SOCKETS);
-    await Promise.all(Array.from({ length: lanes }, lane));
+    await Promise.all(Array.from({ length: this.sockets(CONFIRM_SOCKETS) }, lane));
   }
 
   /** A command under the machine's token. It leaves only while leadership is proven, however long it waited for its connection. */
@@ -393,13 +399,17 @@
   private tell(): void {
     const { cluster, term } = this;
     if (!term.proven()) return;
+    const most = this.sockets(COMMAND_SOCKETS);
     for (const m of cluster.toTell) {
+      // The rest follows as these are answered, unless a report comes first.
+      if (this.telling.size >= most) return;
       if (this.telling.has(m.id)) continue;
       cluster.toTell.delete(m);
       const { orders, starts } = cluster.urgent(m);
       if (orders.length > 0) void this.command(m, orders, starts);
     }
     for (const m of cluster.toProbe) {
+      if (this.telling.size >= most) return;
       if (this.telling.has(m.id) || m.address === '') continue;
       cluster.toProbe.delete(m);
       void this.command(m, [], []);
@@ -416,7 +426,8 @@
       if (answer.executed) cluster.hears(m);
     } catch (error) {
       if (error instanceof NotSent) cluster.unsent(starts);
-      if (!term.signal.aborted && !m.relayed) cluster.unheard(m, ctx.clock.now());
+      const tried = !(error instanceof NotTried);
+      if (tried && !term.signal.aborted && !m.relayed) cluster.unheard(m, ctx.clock.now());
       if (!term.signal.aborted)
         ctx.log.debug(
           { machine: m.id, error: String((error as Error).message) },
@@ -424,7 +435,7 @@
         );
     } finally {
       this.telling.delete(m.id);
-      if (cluster.toTell.has(m)) setImmediate(() => this.tell());
+      if (cluster.toTell.size > 0) setImmediate(() => this.tell());
     }
   }
 
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -17,6 +17,9 @@
 /** The request never left: no connection was had. */
 export class NotSent extends NoAnswer {}
 
+/** It was not even tried, for a reason on this side: that says nothing of the other. */
+export class NotTried extends NotSent {}
+
 interface Pooled {
   socket: net.Socket;
   parser: Parser;
@@ -68,7 +71,7 @@
       const conn = await this.take(deadline, signal);
       if (!fit()) {
         this.release(conn);
-        throw new NotSent('no longer fit to be sent');
+        throw new NotTried('no longer fit to be sent');
       }
       const fresh = conn.socket.bytesRead === 0;
       const used = conn.socket.bytesRead;
@@ -91,7 +94,7 @@
     this.closed = true;
     for (const c of this.idle) c.socket.destroy();
     this.idle = [];
-    for (const w of this.waiting) w.reject(new NotSent('closed'));
+    for (const w of this.waiting) w.reject(new NotTried('closed'));
     this.waiting = [];
   }
 
@@ -101,13 +104,13 @@
       if (!kept) break;
       if (!kept.socket.destroyed) return Promise.resolve(kept);
     }
-    if (this.closed) return Promise.reject(new NotSent('closed'));
+    if (this.closed) return Promise.reject(new NotTried('closed'));
     if (this.open < this.options.connections) return this.connect(deadline, signal);
     return new Promise((resolve, reject) => {
       const timer = setTimeout(
         () => {
           this.waiting = this.waiting.filter((w) => w !== waiter);
-          reject(new NotSent('no free connection'));
+          reject(new NotTried('no free connection'));
         },
         Math.max(1, deadline - Date.now()),
       );
--- a/test/leadership.test.ts
+++ b/test/leadership.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { inTime } from '../src/duties/clock.js';
 import { LEADER_KEY, Leadership, type Term } from '../src/duties/leadership.js';
 import { FakeClock } from './support/clock.js';
 import { context } from './support/context.js';
@@ -162,3 +163,20 @@
   assert.equal(term.mayAnswer(), false);
   w.stop.abort();
 });
+
+test('work of our own choosing waits while timers are late', async () => {
+  // Each wait takes this much longer than asked for: the processor is behind with reports.
+  const behind = [400, 0, 90, 0, 10];
+  const waits: number[] = [];
+  let now = 0;
+  const clock = {
+    now: () => now,
+    wall: () => now,
+    sleep: async (ms: number) => {
+      waits.push(ms);
+      now += ms + (behind.shift() ?? 0);
+    },
+  };
+  await inTime(clock, 100, new AbortController().signal);
+  assert.deepEqual(waits, [10, 800, 10, 180, 10]);
+});
