--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -103,6 +103,8 @@
   private readonly sizes = new Map<string, number>();
   /** Something happened that may let a task be placed. */
   stirred = true;
+  /** Room within a team's limit that is kept for the first task of a job that has waited for too long. */
+  readonly keptRoom = new Map<string, Use>();
   /** What the last round found no machine for, in its order. */
   waiting: Batch[] = [];
   /** By zone: when it was last heard, and since when without a gap in which all of it was silent. */
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -139,6 +139,8 @@
   );
 }
 
+const NOTHING: Use = { cpus: 0, gpus: 0 };
+
 /** What the rules of a job look at in a machine. */
 export type Placed = Pick<Machine, 'typeName' | 'zone' | 'spot'>;
 
@@ -158,16 +160,18 @@
   return Math.ceil(tasks / 2) - (job.zones.get(zone) ?? 0);
 }
 
-/** How many more tasks of the shape the team's limit allows, doubt counted in. */
-function teamRoom(cluster: Cluster, spec: JobSpec, doubt: Use): number {
+/** How many more tasks of the batch the team's limit allows, doubt and what is kept for others counted in. */
+function teamRoom(cluster: Cluster, batch: Batch, doubt: Use): number {
+  const { spec } = batch;
   const team = cluster.teams.get(spec.team);
   if (!team) return 0;
-  const use = cluster.teamUse.get(spec.team) ?? { cpus: 0, gpus: 0 };
+  const use = cluster.teamUse.get(spec.team) ?? NOTHING;
+  const kept = batch.aged ? NOTHING : (cluster.keptRoom.get(spec.team) ?? NOTHING);
+  const cpus = team.cpusMax - use.cpus - doubt.cpus - kept.cpus + EPSILON;
+  const gpus = team.gpusMax - use.gpus - doubt.gpus - kept.gpus + EPSILON;
   let n = 1e9;
-  if (team.cpusMax > 0 && spec.cpus > 0)
-    n = Math.min(n, Math.floor((team.cpusMax - use.cpus - doubt.cpus + EPSILON) / spec.cpus));
-  if (team.gpusMax > 0 && spec.gpus > 0)
-    n = Math.min(n, Math.floor((team.gpusMax - use.gpus - doubt.gpus + EPSILON) / spec.gpus));
+  if (team.cpusMax > 0 && spec.cpus > 0) n = Math.min(n, Math.floor(cpus / spec.cpus));
+  if (team.gpusMax > 0 && spec.gpus > 0) n = Math.min(n, Math.floor(gpus / spec.gpus));
   return Math.max(0, n);
 }
 
@@ -195,12 +199,13 @@
   let unplaced = 0;
   let held = 0;
   cluster.waiting = [];
+  cluster.keptRoom.clear();
   const promised = new Map<Machine, Room>();
   for (const batch of batches) {
     let left = batch.count;
     const candidates = roomy.filter((m) => allowed(m, batch.spec));
     while (left > 0 && started.length < limit) {
-      const room = teamRoom(cluster, batch.spec, doubt);
+      const room = teamRoom(cluster, batch, doubt);
       if (room === 0) break;
       const m = best(cluster, batch, candidates, left, dearest);
       if (!m) break;
@@ -212,7 +217,10 @@
     unplaced += left;
     if (left === 0) continue;
     cluster.waiting.push(batch);
-    if (started.length >= limit || teamRoom(cluster, batch.spec, doubt) === 0) continue;
+    // Room that smaller tasks of the team free piece by piece would go to the next small ones for ever.
+    const { team, cpus, gpus } = batch.spec;
+    if (batch.aged && !cluster.keptRoom.has(team)) cluster.keptRoom.set(team, { cpus, gpus });
+    if (started.length >= limit || teamRoom(cluster, batch, doubt) === 0) continue;
     if (batch.aged && held++ < openMachines.length * HELD_SHARE) hold(batch, roomy, openMachines);
     preempt(cluster, batch, left, openMachines, promised, now);
   }
@@ -250,7 +258,7 @@
     if (m.heldFor !== null && m.heldFor !== batch.jobs[0]?.spec.id) continue;
     if (batch.aged && batch.jobs[0]?.begun) continue;
     const most = batch.aged ? 1 : limit;
-    const room = Math.min(teamRoom(cluster, batch.spec, doubt), most, limit - started.length);
+    const room = Math.min(teamRoom(cluster, batch, doubt), most, limit - started.length);
     if (room === 0) continue;
     const jobs = batch.jobs.filter((job) => isReady(cluster, job, now));
     if (jobs.length > 0) put(cluster, { ...batch, jobs }, m, room, started, now);
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -259,6 +259,31 @@
   assert.equal(large.bound.size, 0);
 });
 
+test('a large task does not wait for ever within its team’s limit behind small ones', () => {
+  const c = cluster({ teams: [team({ name: 'ops', cpusMax: 8 })] });
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  const large = c.addJob(spec({ id: 'req-000001', tasks: 2, cpus: 8 }), 1, -200_000, false);
+  const small = c.addJob(spec({ id: 'req-000002', tasks: 100, cpus: 2 }), 2, 0, false);
+  assert.ok(large && small);
+  // All of the limit is in use by the small ones when the large one has waited for too long.
+  large.heldUntil = 1000;
+  round(c, 32, 0);
+  assert.equal(small.bound.size, 4);
+  beat(c, w, 100);
+  // One small task ends at a time, and its room is filled in the answer, or by a round.
+  for (let now = 2000; !large.begun && now < 20_000; now += 1000) {
+    const first = [...w.tasks].find(([, t]) => t.state === 'running');
+    if (first) w.exit(first[0], 'done');
+    c.report(w.report(), true, now);
+    const m = c.machines.get('n-1');
+    if (m) fill(c, m, 32, now);
+    round(c, 32, now + 100);
+    beat(c, w, now + 200);
+  }
+  assert.equal(large.begun, true);
+  assert.equal(large.bound.size, 1);
+});
+
 test('a sick machine is told from a faulty job', () => {
   const c = cluster();
   const sick = joined(c, new ScriptedWorker('n-1'), 0);
