Date knowledge of cancellations when it was asked for; nothing is renewed before reading

Change: a new term knows of no cancellation until its reading has ended and answers no report before that (it waits for the reading for half a report at most, then 503); 410 is no news, only the reading after it; starts need news as fresh as the proof, so the watch of jobs is asked anew each renewal; every answer that renews a lease stops what the report shows of ended jobs, also to machines that are unconfirmed and when leadership is unproven; a node that confirms a cancellation first tells every peer that it hears, so that the leader starts nothing of it even while its watch is refused.

Two tests of elections now say that the stand-in has read the jobs; what they assert is unchanged.

--- a/src/config/timing.ts
+++ b/src/config/timing.ts
@@ -17,6 +17,8 @@
   answerMs: number;
   stateTimeoutMs: number;
   watchMs: number;
+  /** The leader's watch of jobs is asked anew this often: its news counts from when it was asked for. */
+  newsMs: number;
   userTimeoutMs: number;
   cloudTimeoutMs: number;
   commandTimeoutMs: number;
@@ -53,10 +55,14 @@
     leaseMs,
     renewMs: leaseMs * 0.25,
     provenMs: leaseMs * 0.75 * (1 - DRIFT),
-    // An answer extends the worker's lease only from when its report was sent, so a late one extends it by less; a twentieth covers drift.
+    // A cancellation that this node does not know of was confirmed after its last news. From there on it
+    // answers for answerMs, the last answer renews a lease from when its report was sent, before the
+    // answer, and the worker ends its tasks a lease later: together at most 0.95 cancel_s + 0.05 lease_s.
+    // What is left of cancel_s covers drift and the time that an answer is on its way (docs/design.md).
     answerMs: Math.max(0, (cancelMs - workerLeaseMs) * 0.95),
     stateTimeoutMs: reportMs * 0.4,
     watchMs: reportMs * 2,
+    newsMs: leaseMs * 0.25,
     userTimeoutMs: reportMs * 0.8,
     cloudTimeoutMs: reportMs * 2,
     commandTimeoutMs: reportMs * 0.5,
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -117,6 +117,10 @@
   private readonly inheritedKinds = new Map<string, { like: Placed; count: number }>();
   /** Time of day less steady time, for ages of jobs. */
   wallOffset = 0;
+  /** Jobs that a node told of as cancelled, by the revision of that: news from before it must not bring one back. */
+  private readonly announced = new Map<string, number>();
+  /** The revision up to which the news of jobs has been applied. */
+  private newsUpTo = 0;
   private attempts = 0;
   /** Told of each machine that is proven gone. */
   onGone: (m: Machine) => void = () => {};
@@ -146,7 +150,7 @@
   // Jobs
 
   addJob(spec: JobSpec, version: number, acceptedAt: number, inherited: boolean): Job | null {
-    if (this.jobs.has(spec.id)) return null;
+    if (this.jobs.has(spec.id) || this.announced.has(spec.id)) return null;
     const job = new Job(spec, version, acceptedAt, inherited);
     this.jobs.set(spec.id, job);
     const size = this.sizes.get(spec.jobClass) ?? spec.tasks;
@@ -171,6 +175,19 @@
     this.stirred = true;
   }
 
+  /** The job's cancellation is durable at this revision, which the news of jobs may not have reached. */
+  announceEnd(id: string, revision: number): void {
+    if (revision <= this.newsUpTo) return;
+    this.announced.set(id, revision);
+    this.endJob(id);
+  }
+
+  /** The news of jobs has been applied up to this revision. */
+  upToDate(revision: number): void {
+    this.newsUpTo = revision;
+    for (const [id, at] of this.announced) if (at <= revision) this.announced.delete(id);
+  }
+
   ageMs(job: Job, now: number): number {
     return now + this.wallOffset - job.acceptedAt;
   }
@@ -632,11 +649,31 @@
     job.unbind(b, now + reportMs * 0.5 * Math.min(4, job.failedOn.size));
   }
 
+  /**
+   * Whatever else an answer may order: it renews the lease, so it stops what
+   * the report shows of jobs that have ended. Every task was started by this
+   * leader or an earlier one, so its job is known here or has ended.
+   */
+  endsOf(r: MachineReport): Order[] {
+    const out: Order[] = [];
+    for (const t of r.tasks) {
+      if (out.length >= ORDERS_PER_ANSWER) break;
+      if (t.state === 'exited' || this.jobs.has(t.job)) continue;
+      out.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
+    }
+    return out;
+  }
+
   /** The orders for a machine that has just reported, in the order of their execution. */
   orders(m: Machine): Order[] {
     const out: Order[] = [];
     if (!m.confirmed) return out;
+    // Ends of jobs come first: where an answer is full, what runs on does so under a renewed lease.
+    for (const b of m.bindings.values())
+      if (b.job.over && b.stop && b.state !== 'exited' && b.state !== 'assigned')
+        out.push({ op: 'stop', job: b.job.spec.id, index: b.index, attempt: b.attempt, graceS: 0 });
     for (const t of this.strayTasks.get(m.id) ?? []) {
+      if (out.length >= ORDERS_PER_ANSWER) break;
       const base = { job: t.job, index: t.index, attempt: t.attempt };
       if (t.state === 'exited') out.push({ op: 'forget', ...base });
       else out.push({ op: 'stop', ...base, graceS: 0 });
@@ -650,7 +687,7 @@
         if (b.job.over) continue;
         out.push({ op: 'start', ...base });
         b.sentSeq = m.seq;
-      } else if (b.stop && (b.state !== 'saving' || b.stop.graceS === 0)) {
+      } else if (b.stop && !b.job.over && (b.state !== 'saving' || b.stop.graceS === 0)) {
         out.push({ op: 'stop', ...base, graceS: b.stop.graceS });
       }
     }
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -3,7 +3,7 @@
 import type { CloudClient } from '../clients/cloud.js';
 import { RETURN_LIMIT } from '../clients/cloud.js';
 import { Refused } from '../clients/state.js';
-import { WorkerClient } from '../clients/worker.js';
+import type { WorkerClient } from '../clients/worker.js';
 import type { Policy } from '../config/policy.js';
 import type { Platform } from '../config/settings.js';
 import { type Aims, Cluster, type CorePolicy, chunkKey } from '../core/cluster.js';
@@ -82,6 +82,15 @@
 /** Machines confirmed at the same time after a takeover, as a part of the sockets: one that is gone keeps its lane until it times out. */
 const CONFIRM_SOCKETS = 0.03;
 
+function socketsOf(platform: Platform, share: number): number {
+  return Math.ceil(platform.settings.quota.max_sockets * share);
+}
+
+/** The sockets that a leader's commands may take. */
+export function commandSockets(platform: Platform): number {
+  return socketsOf(platform, COMMAND_SOCKETS) + socketsOf(platform, CONFIRM_SOCKETS);
+}
+
 function aimsOf(objectives: Platform['settings']['objectives']): Aims {
   const aims: Aims = { classes: new Map(), guaranteeS: null };
   for (const o of objectives ?? []) {
@@ -107,26 +116,29 @@
   private readonly renting: Renting;
   /** The state service has been read: reports are taken into the picture. */
   ready = false;
+  private begin: () => void = () => {};
+  private readonly read = new Promise<void>((resolve) => {
+    this.begin = resolve;
+  });
   private hires = 0;
   private lastRound = 0;
   /** Jobs up to this version are counted in what is expected. */
   private counted = 0;
   /** Machines with a direct command under way: one at a time each. */
   private readonly telling = new Set<string>();
-  private readonly workers: WorkerClient;
-
   constructor(
     private readonly ctx: Context,
-    private readonly cloud: CloudClient,
+    private readonly cloud: Pick<CloudClient, 'types' | 'list' | 'rent' | 'giveBack'>,
     readonly term: Term,
     private readonly policy: CorePolicy,
+    private readonly workers: Pick<WorkerClient, 'command' | 'keep' | 'close'>,
   ) {
-    const { workers, state, objectives } = ctx.platform.settings;
+    const { workers: agents, state, objectives } = ctx.platform.settings;
     this.cluster = new Cluster(
       term.term,
       ctx.teams,
       {
-        reportMs: workers.report_s * 1000,
+        reportMs: agents.report_s * 1000,
         workerLeaseMs: ctx.timing.workerLeaseMs,
         listProofMs: ctx.timing.listProofMs,
         silentMs: ctx.timing.silentMs,
@@ -140,23 +152,21 @@
     );
     this.renting = new Renting(this.cluster);
     this.cluster.onGone = (m) => this.renting.freed(m, ctx.clock.now());
-    this.workers = new WorkerClient(
-      ctx.timing.commandTimeoutMs,
-      this.sockets(COMMAND_SOCKETS) + this.sockets(CONFIRM_SOCKETS),
-    );
     setMaxListeners(0, term.signal);
     term.signal.addEventListener('abort', () => this.workers.close(), { once: true });
   }
 
   private sockets(share: number): number {
-    return Math.ceil(this.ctx.platform.settings.quota.max_sockets * share);
+    return socketsOf(this.ctx.platform, share);
   }
 
   async run(): Promise<void> {
     const { ctx, term } = this;
     const began = ctx.clock.now();
-    const revision = await this.load();
+    const { revision, askedAt } = await this.load();
+    term.informed(askedAt);
     this.ready = true;
+    this.begin();
     ctx.log.info(
       {
         term: term.term,
@@ -220,7 +230,7 @@
     }
   }
 
-  private async load(): Promise<number> {
+  private async load(): Promise<{ revision: number; askedAt: number }> {
     const { ctx, cluster } = this;
     const now = ctx.clock.now();
     cluster.wallOffset = ctx.clock.wall() - now;
@@ -234,6 +244,7 @@
       for (const m of entries)
         cluster.inheritMachine(m.id, m.type, m.zone, m.spot, m.address, ctx.clock.now());
     }
+    const askedAt = ctx.clock.now();
     const live = await this.readAll(LIVE);
     // What was expected before goes on; jobs that arrived since it was written add to it.
     const entry = await this.insist((s) => ctx.state.get(LOADS_KEY, Priority.lead, s));
@@ -256,7 +267,7 @@
         );
       else cluster.cleanup.add(e.key);
     }
-    return live.revision;
+    return { revision: live.revision, askedAt };
   }
 
   private addLive(key: string, value: unknown, version: number): void {
@@ -276,21 +287,25 @@
     const { ctx } = this;
     let after = revision;
     while (!signal.aborted) {
-      const askedAt = ctx.clock.now();
+      let askedAt = ctx.clock.now();
       const from = after;
-      const got = await this.insist((s) => ctx.state.watch(LIVE, from, ctx.timing.watchMs, s));
-      this.term.informed(askedAt);
+      const got = await this.insist((s) => ctx.state.watch(LIVE, from, ctx.timing.newsMs, s));
       if (got) {
         for (const e of got.events) this.apply(e);
         after = got.revision;
-        continue;
+      } else {
+        // Too old a revision, which by itself is no news: what is no longer listed has ended.
+        askedAt = ctx.clock.now();
+        const live = await this.readAll(LIVE);
+        const known = new Set(live.entries.map((e) => e.key.slice(LIVE.length)));
+        for (const id of [...this.cluster.jobs.keys()]) if (!known.has(id)) this.cluster.endJob(id);
+        for (const e of byArrival(live.entries)) this.addLive(e.key, e.value, e.version);
+        after = live.revision;
       }
-      // Too old a revision: what is no longer listed has ended.
-      const live = await this.readAll(LIVE);
-      const known = new Set(live.entries.map((e) => e.key.slice(LIVE.length)));
-      for (const id of [...this.cluster.jobs.keys()]) if (!known.has(id)) this.cluster.endJob(id);
-      for (const e of byArrival(live.entries)) this.addLive(e.key, e.value, e.version);
-      after = live.revision;
+      this.cluster.upToDate(after);
+      // Only an answer tells that nothing was missed, and only up to when it was asked for: a watch
+      // that waits through a refusal of this node alone knows nothing of what others confirm.
+      this.term.informed(askedAt);
     }
   }
 
@@ -301,15 +316,35 @@
     if (this.cluster.toTell.size > 0) setImmediate(() => this.tell());
   }
 
+  /**
+   * A node is about to confirm this cancellation, which is durable. The watch
+   * may be late or refused to this node alone: nothing of the job may start
+   * once its user has been told.
+   */
+  cancelled(id: string, revision: number): void {
+    this.cluster.announceEnd(id, revision);
+    if (this.cluster.toTell.size > 0) setImmediate(() => this.tell());
+  }
+
+  /** Waits until the state service has been read, or for as long as a report's answer may take. */
+  async begun(): Promise<void> {
+    if (this.ready) return;
+    const late = this.ctx.clock.sleep(this.ctx.timing.commandTimeoutMs).catch(() => {});
+    await Promise.race([this.read, late]);
+  }
+
   /** Takes a worker's report and returns what goes back with its answer: the orders and the machine's fence. */
   report(r: MachineReport, relayed: boolean): { orders: Order[]; fence: number } {
     const { cluster, term, ctx } = this;
     const now = ctx.clock.now();
-    const taken = this.ready && cluster.report(r, true, now);
+    const taken = cluster.report(r, true, now);
     const m = cluster.machines.get(r.machine);
     // An answer under a lower fence than the machine knows would be dropped.
     if (!taken || !m)
-      return { orders: [], fence: Math.max(m?.fence ?? 0, r.term === term.term ? r.fence : 0) };
+      return {
+        orders: cluster.endsOf(r),
+        fence: Math.max(m?.fence ?? 0, r.term === term.term ? r.fence : 0),
+      };
     m.relayed = relayed;
     if (m.deafSince !== null) {
       // Behind a cut it can't answer a command; there only starts without effect speak against it.
@@ -320,7 +355,7 @@
         setImmediate(() => this.tell());
       }
     }
-    if (!term.proven()) return { orders: [], fence: m.fence };
+    if (!m.confirmed || !term.mayStart()) return { orders: cluster.endsOf(r), fence: m.fence };
     // Room that this report has freed is filled in its own answer.
     fill(cluster, m, this.policy.machineStarts, now);
     // A command under way would be refused under the new token.
@@ -398,7 +433,7 @@
   /** Sends what should not wait for the machines' next reports. */
   private tell(): void {
     const { cluster, term } = this;
-    if (!term.proven()) return;
+    if (!term.mayStart()) return;
     const most = this.sockets(COMMAND_SOCKETS);
     for (const m of cluster.toTell) {
       // The rest follows as these are answered, unless a report comes first.
@@ -454,7 +489,7 @@
       pauseMs = ctx.timing.roundMs;
       const now = ctx.clock.now();
       // Delays run out without an event: a slow round finds what they free.
-      if (!this.term.proven() || (!cluster.stirred && now - this.lastRound < restMs)) continue;
+      if (!this.term.mayStart() || (!cluster.stirred && now - this.lastRound < restMs)) continue;
       if (this.round(now)) cluster.stirred = true;
       // The larger the cluster, the longer a round takes: reports and users must not wait for the next.
       pauseMs = Math.max(pauseMs, (ctx.clock.now() - now) * ROUND_REST);
--- a/src/duties/leadership.ts
+++ b/src/duties/leadership.ts
@@ -21,9 +21,11 @@
   signal: AbortSignal;
   /** Leadership is proven now: a renewal sent within the proven time was answered. */
   proven(): boolean;
+  /** Proven, and the news of jobs is as fresh: what other nodes have confirmed as cancelled is not started. */
+  mayStart(): boolean;
   /** Reports may still be answered: the workers' leases would run out in time for a cancellation. */
   mayAnswer(): boolean;
-  /** The watch of jobs was up to date at this time. */
+  /** All that was durable of jobs at this time, cancellations above all, has been applied. */
   informed(at: number): void;
   resign(why: string): void;
 }
@@ -166,12 +168,15 @@
     const stop = () => ended.abort();
     signal.addEventListener('abort', stop, { once: true });
     let provenAt = grantedAt;
-    let informedAt = grantedAt;
+    // Before the jobs have been read nothing is known of cancellations, not even of old ones: several
+    // leaders in a row, none of which gets as far, must not renew the workers' leases for one another.
+    let informedAt = Number.NEGATIVE_INFINITY;
     const term: Term = {
       term: number,
       version,
       signal: ended.signal,
       proven: () => !ended.signal.aborted && clock.now() - provenAt < timing.provenMs,
+      mayStart: () => term.proven() && clock.now() - informedAt < timing.provenMs,
       mayAnswer: () =>
         !ended.signal.aborted && clock.now() - Math.min(provenAt, informedAt) < timing.answerMs,
       informed: (at) => {
@@ -203,7 +208,7 @@
         if (ended.signal.aborted) return;
         ctx.log.debug({ error: String((error as Error).message) }, 'renewal not answered');
         // With the answers to reports over there is nothing left to hold on to.
-        if (!term.mayAnswer()) term.resign('unproven for too long');
+        if (clock.now() - provenAt >= timing.answerMs) term.resign('unproven for too long');
       }
     };
     try {
--- a/src/duties/node.ts
+++ b/src/duties/node.ts
@@ -11,7 +11,7 @@
 import { type Clock, pause } from './clock.js';
 import type { Context } from './context.js';
 import { Health } from './health.js';
-import { corePolicy, Leader } from './leader.js';
+import { commandSockets, corePolicy, Leader } from './leader.js';
 import { Leadership } from './leadership.js';
 import { COUNTS_PER_STATUS, Peers } from './peers.js';
 import { Reports } from './reports.js';
@@ -67,12 +67,20 @@
       log,
       types: null,
     };
-    this.users = new Users(this.ctx, (id) => {
-      const job = this.leader?.cluster.jobs.get(id);
-      return job ? { done: job.done, running: job.bound.size } : this.peers.countsOf(id);
-    });
+    this.users = new Users(
+      this.ctx,
+      (id) => {
+        const job = this.leader?.cluster.jobs.get(id);
+        return job ? { done: job.done, running: job.bound.size } : this.peers.countsOf(id);
+      },
+      (id, revision) => {
+        this.leader?.cancelled(id, revision);
+        return this.peers.announce(id, revision);
+      },
+    );
     this.leadership = new Leadership(this.ctx, async (term) => {
-      const leader = new Leader(this.ctx, this.cloud, term, corePolicy(policy));
+      const workers = new WorkerClient(timing.commandTimeoutMs, commandSockets(platform));
+      const leader = new Leader(this.ctx, this.cloud, term, corePolicy(policy), workers);
       this.leader = leader;
       try {
         await leader.run();
@@ -92,6 +100,7 @@
       }),
       onTerm: (term) => this.leadership.heardOf(term),
       serveUser: (method, target, body) => this.serveUser(method, target, body),
+      cancelled: (job, revision) => this.leader?.cancelled(job, revision),
       takeReport: async (body) => this.reports.lead(parseReport(JSON.parse(body.toString())), true),
     });
     this.reports = new Reports(
--- a/src/duties/peers.ts
+++ b/src/duties/peers.ts
@@ -19,6 +19,8 @@
   onTerm: (term: number) => void;
   serveUser: (method: string, target: string, body: Buffer) => Promise<Reply>;
   takeReport: (body: Buffer) => Promise<Reply>;
+  /** A peer is about to confirm this job's cancellation. */
+  cancelled: (job: string, revision: number) => void;
 }
 
 interface Passed {
@@ -27,6 +29,11 @@
   body: Uint8Array;
 }
 
+interface Cancelled {
+  job: string;
+  revision: number;
+}
+
 /** What passes between the controllers: status all the time, requests passed on when a cut asks for it. */
 export class Peers {
   private readonly net: PeerNet;
@@ -101,6 +108,21 @@
     );
   }
 
+  /**
+   * Tells every peer that is heard of a cancellation that is durable, so that
+   * the leader, whichever of them it is, starts nothing of it once the user
+   * knows. One that can't be told in a moment holds up nobody: its news of
+   * jobs runs out, and what it can do without them is bounded (timing).
+   */
+  async announce(job: string, revision: number): Promise<void> {
+    const { platform, timing } = this.ctx;
+    const news: Cancelled = { job, revision };
+    const peers = platform.peers.filter((p) => this.hears(p.node));
+    await Promise.allSettled(
+      peers.map((p) => this.net.ask(p.node, 'cancelled', news, timing.stateTimeoutMs * 0.25)),
+    );
+  }
+
   async passReport(node: string, body: Buffer): Promise<Reply> {
     return this.reply(await this.net.ask(node, 'report', body, this.ctx.timing.stateTimeoutMs));
   }
@@ -153,6 +175,11 @@
 
   private async serve(op: string, payload: unknown): Promise<unknown> {
     if (op === 'report') return this.duties.takeReport(Buffer.from(payload as Uint8Array));
+    if (op === 'cancelled') {
+      const { job, revision } = payload as Cancelled;
+      this.duties.cancelled(job, revision);
+      return null;
+    }
     if (op !== 'user') throw new Error(`unknown question ${op}`);
     const { method, target, body } = payload as Passed;
     return this.duties.serveUser(method, target, Buffer.from(body));
--- a/src/duties/reports.ts
+++ b/src/duties/reports.ts
@@ -88,7 +88,9 @@
   }
 
   /** A report that a peer passed on, or one of our own. */
-  lead(report: MachineReport, relayed: boolean): Reply {
+  async lead(report: MachineReport, relayed: boolean): Promise<Reply> {
+    // Before the jobs are read no lease may be renewed; a moment later its orders go with the answer.
+    await this.leader()?.begun();
     const leader = this.leader();
     const term = this.leadership.current;
     if (!leader || !term) return { status: 421, body: notLeaderAnswer(null) };
--- a/src/duties/users.ts
+++ b/src/duties/users.ts
@@ -42,6 +42,8 @@
   constructor(
     private readonly ctx: Context,
     private readonly counts: (id: string) => Counts | null,
+    /** Has whoever leads stop the job before its user is told. */
+    private readonly announce: (id: string, revision: number) => Promise<void>,
   ) {}
 
   /** The live key is looked up first: an end moves it, so a job can't slip between the two reads. */
@@ -136,7 +138,10 @@
       for (let tries = 0; tries < 2; tries++) {
         const known = await this.lookup(id);
         if (!known) return refuse(404, 'no such job');
-        if (!known.live) return { status: 200, body: acceptedAnswer(id, known.standing) };
+        if (!known.live) {
+          if (known.standing === 'cancelled') await this.announce(id, known.version);
+          return { status: 200, body: acceptedAnswer(id, known.standing) };
+        }
         const over: OverRecord = { state: 'cancelled', tasks: known.tasks };
         const moved = await this.ctx.state.transact(
           [
@@ -151,6 +156,7 @@
         );
         if (moved.ok) {
           this.ctx.log.info({ job: id }, 'cancelled');
+          await this.announce(id, moved.revision);
           return { status: 200, body: acceptedAnswer(id, 'cancelled') };
         }
       }
--- a/test/leadership.test.ts
+++ b/test/leadership.test.ts
@@ -18,6 +18,8 @@
     stop.signal.addEventListener('abort', () => own.abort());
     const leadership = new Leadership(ctx, (term) => {
       terms.push(term);
+      // The stand-in of a leader has read all jobs at once.
+      term.informed(clock.now());
       return new Promise((resolve) => {
         term.signal.addEventListener('abort', () => resolve(), { once: true });
       });
--- /dev/null
+++ b/test/meetings.test.ts
@@ -0,0 +1,171 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ScriptedWorker } from './support/cluster.js';
+import { onWire, World } from './support/world.js';
+
+/** No luck at all: whatever is drawn is the middle. */
+const even = () => 0.5;
+
+/** No answer until the caller gives up. */
+function aborted(signal?: AbortSignal): Promise<never> {
+  return new Promise((_, reject) => {
+    signal?.addEventListener('abort', () => reject(new Error('aborted')), { once: true });
+  });
+}
+
+async function busy(world: World, jobs: number): Promise<string[]> {
+  await world.run(8);
+  const ids: string[] = [];
+  for (let i = 0; i < jobs; i++) ids.push(await world.submit());
+  await world.run(6);
+  return ids;
+}
+
+function runningOf(world: World, id: string): number {
+  return world.machines.flatMap((m) => m.worker.running()).filter((t) => t.startsWith(id)).length;
+}
+
+test('the gap: refused alone, cancelled elsewhere, then an outage longer than a cancellation', async () => {
+  const w = new World(even, 3, () => 500_000);
+  const ids = await busy(w, 4);
+  const leader = w.leading;
+  assert.ok(leader);
+  assert.ok(ids.every((id) => runningOf(w, id) === 3));
+  // Nobody can tell the leader: its peers don't reach it, its watch waits.
+  leader.state.fault = 'refuse';
+  leader.cutFromPeers = true;
+  await w.run(1);
+  assert.ok(await w.cancel(ids[0] as string, w.other));
+  w.store.outage = true;
+  await w.run(20);
+  // Its workers are still served.
+  assert.equal(runningOf(w, ids[1] as string), 3);
+  await w.run(70);
+  assert.equal(runningOf(w, ids[0] as string), 0);
+  assert.equal(w.lateStarts, 0);
+});
+
+test('the same while the old leader, refused for longer than its proof, still has the news of its peers', async () => {
+  const w = new World(even, 3, () => 500_000);
+  const ids = await busy(w, 4);
+  const leader = w.leading;
+  assert.ok(leader);
+  leader.state.fault = 'refuse';
+  const before = w.started;
+  for (const id of ids) assert.ok(await w.cancel(id, w.other));
+  // Told over the peers' connection, it stops them at once and starts nothing of them.
+  await w.run(2);
+  for (const id of ids) assert.equal(runningOf(w, id), 0);
+  assert.deepEqual([w.started, w.lateStarts], [before, 0]);
+});
+
+test('a leader that has not read the jobs renews no lease, however many such leaders follow each other', async () => {
+  const w = new World(even, 3, () => 500_000);
+  const ids = await busy(w, 3);
+  const first = w.leading;
+  assert.ok(first);
+  first.crash();
+  assert.ok(await w.cancel(ids[0] as string, w.other));
+  // Each wins an election and is refused before it has read anything.
+  for (const c of w.controllers) {
+    const { listPage } = c.state;
+    c.state.listPage = (prefix, after, signal) =>
+      prefix === 'roster/' ? aborted(signal) : listPage.call(c.state, prefix, after, signal);
+  }
+  const terms = w.terms.length;
+  for (let i = 0; i < 8; i++) {
+    await w.run(5);
+    const c = w.controllers.find((x) => x.leader);
+    if (!c) continue;
+    assert.equal(c.leadership.current?.mayAnswer(), false);
+    const answer = c.reports.handle(onWire(new ScriptedWorker('n-1').report()));
+    await w.run(2);
+    assert.equal((await answer).status, 503);
+    c.leadership.current?.resign('by script');
+  }
+  assert.ok(w.terms.length >= terms + 6, `${w.terms.length - terms} terms`);
+  assert.equal(runningOf(w, ids[0] as string), 0);
+});
+
+test('the first answer to a machine that a new leader does not know yet stops what was cancelled', async () => {
+  const w = new World(even, 3, () => 500_000);
+  const ids = await busy(w, 3);
+  const first = w.leading;
+  assert.ok(first);
+  // One machine is out of reach while its leader changes and the job is cancelled.
+  const m = w.machines.find((x) => x.worker.running().some((t) => t.startsWith(ids[0] as string)));
+  assert.ok(m);
+  m.hangs = true;
+  first.crash();
+  assert.ok(await w.cancel(ids[0] as string, w.other));
+  for (let i = 0; i < 20 && !w.leading; i++) await w.run(1);
+  const leader = w.leading;
+  assert.ok(leader);
+  // Its first report goes through, then it is cut off for good: the answer has to do.
+  const report = m.worker.report();
+  assert.ok(report.term < (leader.leadership.current?.term ?? 0));
+  const { orders } = leader.leader?.report(report, false) ?? { orders: [] };
+  const stops = orders.filter((o) => o.op === 'stop' && o.job === ids[0]);
+  assert.equal(stops.length, report.tasks.filter((t) => t.job === ids[0]).length);
+  assert.ok(stops.length > 0);
+  // Under a later term's own token, without proof, the same.
+  assert.equal(orders.length, stops.length);
+});
+
+test('after a watch that is too old the leader knows nothing until it has read all jobs again', async () => {
+  const w = new World(even, 3, () => 500_000);
+  const ids = await busy(w, 2);
+  const leader = w.leading;
+  assert.ok(leader);
+  // Its watch waits, though its renewals are answered; then it is too old, and no reading succeeds.
+  const { watch, listPage } = leader.state;
+  const tooOld = w.clock.now() + 20_000;
+  leader.state.watch = async (prefix, after, waitMs, signal) => {
+    if (prefix !== 'live/') return watch.call(leader.state, prefix, after, waitMs, signal);
+    await w.clock.sleep(Math.max(0, tooOld - w.clock.now()), signal);
+    return null;
+  };
+  leader.state.listPage = (prefix, after, signal) =>
+    prefix === 'live/'
+      ? Promise.reject(new Error('no answer'))
+      : listPage.call(leader.state, prefix, after, signal);
+  leader.cutFromPeers = true;
+  await w.run(3);
+  assert.ok(await w.cancel(ids[0] as string, w.other));
+  await w.run(60);
+  assert.equal(runningOf(w, ids[0] as string), 0);
+  // It leads on, its renewals are answered, and it starts nothing.
+  assert.ok(leader.leadership.current?.proven());
+  assert.equal(leader.leadership.current?.mayStart(), false);
+});
+
+test('a leader cut from state service and peers, but not from workers, starts nothing that is cancelled elsewhere', async () => {
+  const w = new World(even, 3, () => 6_000);
+  await busy(w, 2);
+  const old = w.leading;
+  assert.ok(old);
+  const ids: string[] = [];
+  for (let i = 0; i < 8; i++) ids.push(await w.submit());
+  old.state.fault = 'refuse';
+  old.cutFromPeers = true;
+  for (let i = 0; i < 30 && (!w.leading || w.leading === old); i++) await w.run(0.5);
+  assert.notEqual(w.leading, old);
+  for (const id of ids) await w.cancel(id, w.leading as never);
+  await w.run(40);
+  assert.equal(w.lateStarts, 0);
+  for (const id of ids) assert.equal(runningOf(w, id), 0);
+});
+
+test('machines that reach nobody get no more work than their lease lets them finish, and go on when they are back', async () => {
+  const w = new World(even, 4, () => 12_000);
+  await busy(w, 2);
+  const mute = w.machines[0];
+  assert.ok(mute);
+  mute.mute = true;
+  await w.run(20);
+  const ids: string[] = [];
+  for (let i = 0; i < 12; i++) ids.push(await w.submit());
+  await w.run(80);
+  for (const id of ids) await w.poll(id);
+  assert.ok(ids.every((id) => w.told.get(id)?.standing === 'done'));
+});
--- a/test/support/clock.ts
+++ b/test/support/clock.ts
@@ -8,7 +8,11 @@
 /** Time that moves only when the test says so. */
 export class FakeClock implements Clock {
   private time = 1000;
-  private sleepers: Sleeper[] = [];
+  /** The first to wake comes first; among equals, the one that slept first. */
+  private readonly sleepers: Sleeper[] = [];
+
+  /** `turns` of the event loop are run after each sleeper: more than any chain of immediates is long. */
+  constructor(private readonly turns = 20) {}
 
   now(): number {
     return this.time;
@@ -22,7 +26,8 @@
     return new Promise((resolve, reject) => {
       if (signal?.aborted) return reject(new Stopped());
       const stop = () => {
-        this.sleepers = this.sleepers.filter((s) => s !== sleeper);
+        const at = this.sleepers.indexOf(sleeper);
+        if (at >= 0) this.sleepers.splice(at, 1);
         reject(new Stopped());
       };
       const sleeper: Sleeper = {
@@ -32,7 +37,9 @@
           resolve();
         },
       };
-      this.sleepers.push(sleeper);
+      let at = this.sleepers.length;
+      while (at > 0 && (this.sleepers[at - 1] as Sleeper).at > sleeper.at) at--;
+      this.sleepers.splice(at, 0, sleeper);
       signal?.addEventListener('abort', stop, { once: true });
     });
   }
@@ -40,22 +47,21 @@
   /** Moves time on, waking sleepers in their order and letting each run before the next. */
   async advance(ms: number): Promise<void> {
     const end = this.time + ms;
-    await settle();
+    await settle(this.turns);
     for (;;) {
-      this.sleepers.sort((a, b) => a.at - b.at);
       const next = this.sleepers[0];
       if (!next || next.at > end) break;
       this.sleepers.shift();
       this.time = Math.max(this.time, next.at);
       next.wake();
-      await settle();
+      await settle(this.turns);
     }
     this.time = end;
-    await settle();
+    await settle(this.turns);
   }
 }
 
 /** Lets all that is ready to run do so. */
-export async function settle(): Promise<void> {
-  for (let i = 0; i < 20; i++) await new Promise((resolve) => setImmediate(resolve));
+export async function settle(turns = 20): Promise<void> {
+  for (let i = 0; i < turns; i++) await new Promise((resolve) => setImmediate(resolve));
 }
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -3,7 +3,7 @@
 import type { Change, Condition, Entry, StoreEvent } from '../../src/protocol/store.js';
 import type { FakeClock } from './clock.js';
 
-type Fault = 'refuse' | 'lose request' | 'lose answer' | null;
+type Fault = 'refuse' | 'lose request' | 'lose answer' | 'dead' | null;
 
 /** A state service in memory, with leases by the fake clock and faults by script. */
 export class FakeStore {
@@ -14,9 +14,23 @@
   private log: StoreEvent[] = [];
   private watchers: (() => void)[] = [];
 
+  /** Nobody is served, and no lease ends. */
+  private down = false;
+
   constructor(readonly clock: FakeClock) {}
 
+  get outage(): boolean {
+    return this.down;
+  }
+
+  /** Begins or ends an outage; after it all leases have their full time again. */
+  set outage(down: boolean) {
+    if (this.down && !down) for (const l of this.leases.values()) l.ends = this.clock.now() + l.ttl;
+    this.down = down;
+  }
+
   expire(): void {
+    if (this.down) return;
     for (const [id, l] of this.leases) if (l.ends <= this.clock.now()) this.end(id);
   }
 
@@ -85,11 +99,18 @@
   fault: Fault = null;
   /** Transactions held back: applied when the test says so. */
   late: (() => void)[] = [];
+  /** Whether the next transaction gets no answer and is held back. */
+  holdsBack: () => boolean = () => false;
 
   constructor(private readonly store: FakeStore) {}
 
+  private get refused(): boolean {
+    return this.store.outage || this.fault === 'refuse';
+  }
+
   private async serve<T>(work: () => T): Promise<T> {
-    if (this.fault === 'refuse') throw new Refused(100);
+    if (this.fault === 'dead') throw new NoAnswer('the process has ended');
+    if (this.refused) throw new Refused(100);
     if (this.fault === 'lose request') {
       this.late.push(() => void work());
       throw new NoAnswer('timed out');
@@ -104,7 +125,7 @@
     return this.serve(() => this.store.entries.get(key) ?? null);
   }
 
-  listPage(prefix: string) {
+  listPage(prefix: string, _after: string | null = null, _signal?: AbortSignal) {
     return this.serve(() => ({
       entries: [...this.store.entries.values()]
         .filter((e) => e.key.startsWith(prefix))
@@ -115,6 +136,10 @@
   }
 
   transact(conditions: Condition[], changes: Change[]): Promise<Transaction> {
+    if (!this.refused && this.fault !== 'dead' && this.holdsBack()) {
+      this.late.push(() => void this.store.transact(conditions, changes));
+      return Promise.reject(new NoAnswer('timed out'));
+    }
     return this.serve(() => this.store.transact(conditions, changes));
   }
 
@@ -130,15 +155,30 @@
     return this.serve(() => this.store.end(lease));
   }
 
-  async watch(prefix: string, after: number, waitMs: number, signal?: AbortSignal) {
+  async watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<{ events: StoreEvent[]; revision: number } | null> {
     await this.serve(() => null);
     const ready = () => ({
       events: this.store.since(prefix, after),
       revision: this.store.revision,
     });
     if (ready().events.length > 0) return ready();
-    const changed = new Promise<void>((resolve) => this.store.onChange(resolve));
-    await Promise.race([changed, this.store.clock.sleep(waitMs, signal)]);
-    return ready();
+    const { clock } = this.store;
+    const until = clock.now() + waitMs;
+    for (;;) {
+      const changed = new Promise<void>((resolve) => this.store.onChange(resolve));
+      const left = Math.max(0, until - clock.now());
+      // While its node is refused an open watch just waits, as in an outage.
+      const wait = clock.sleep(this.refused ? Math.max(left, 100) : left, signal);
+      await Promise.race([changed, wait]);
+      wait.catch(() => {});
+      if (this.fault === 'dead') throw new NoAnswer('the process has ended');
+      if (this.refused) continue;
+      if (ready().events.length > 0 || clock.now() >= until) return ready();
+    }
   }
 }
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -227,6 +227,7 @@
     onTerm: (term) => terms.push(term),
     serveUser: () => Promise.reject(new Error('not asked')),
     takeReport: () => Promise.reject(new Error('not asked')),
+    cancelled: () => {},
   });
   const status = (sentAt: number): Status => ({
     node: 'n-1',
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -33,7 +33,15 @@
   const node = () => {
     const state = new FakeState(store);
     const ctx = context('n-0', state, clock);
-    return { state, ctx, users: new Users(ctx, () => null) };
+    return {
+      state,
+      ctx,
+      users: new Users(
+        ctx,
+        () => null,
+        async () => {},
+      ),
+    };
   };
   return { store, node };
 }
