--- a/src/config/timing.ts
+++ b/src/config/timing.ts
@@ -8,6 +8,8 @@
  * settings. Durations are in milliseconds.
  */
 export interface Timing {
+  /** Workers report this often. */
+  reportMs: number;
   /** Life of the leader's lease in the state service. */
   leaseMs: number;
   renewMs: number;
@@ -29,6 +31,8 @@
   /** What work is expected is written down this often. */
   loadsMs: number;
   roundMs: number;
+  /** A timer that is later than this shows that the processor is behind. */
+  lateMs: number;
   flushMs: number;
   rentMs: number;
   silentMs: number;
@@ -52,6 +56,7 @@
   const waitMs = Math.min(reportMs, ...waits);
   const leaseMs = Math.min(workerLeaseMs * 0.2, reportMs * 1.5);
   return {
+    reportMs,
     leaseMs,
     renewMs: leaseMs * 0.25,
     provenMs: leaseMs * 0.75 * (1 - DRIFT),
@@ -71,6 +76,7 @@
     typesMs: lagMs * 6 + reportMs,
     loadsMs: workerLeaseMs / 3,
     roundMs: waitMs / 30,
+    lateMs: reportMs / 20,
     // A fifth of the changes a second may go to progress, and a reader should see an end well within a report.
     flushMs: Math.max(reportMs / 30, 5000 / state.write_rps),
     rentMs: reportMs / 3,
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -76,6 +76,8 @@
 const FENCE_LEASES = 0.25;
 /** Intervals without a report, with their jitter, that show one to be missed. */
 const MISSED_REPORTS = 1.5;
+/** For this part of a report interval after it was late, a leader counts as behind. */
+const BEHIND_REPORTS = 0.25;
 /** Answers in a row whose starts show no effect before a machine counts as deaf. */
 const LOST_ANSWERS = 2;
 /** A task expected to need this many times the notice is not worth the hope. */
@@ -115,6 +117,8 @@
   readonly toProbe = new Set<Machine>();
   /** How many machines of each kind and place are inherited and neither confirmed nor gone. */
   private readonly inheritedKinds = new Map<string, { like: Placed; count: number }>();
+  /** When this leader was last seen to be late itself. */
+  private behindAt = Number.NEGATIVE_INFINITY;
   /** Time of day less steady time, for ages of jobs. */
   wallOffset = 0;
   /** Jobs that a node told of as cancelled, by the revision of that: news from before it must not bring one back. */
@@ -488,6 +492,27 @@
     }
   }
 
+  /** This leader is late with what it does: reports may have come and lie unread. */
+  behind(now: number): void {
+    this.behindAt = now;
+  }
+
+  /** It was late a moment ago: what can wait for the machines' own reports does. */
+  isBehind(now: number): boolean {
+    return now - this.behindAt < this.timing.reportMs * BEHIND_REPORTS;
+  }
+
+  /**
+   * From when on the machine's silence counts. While a small processor is
+   * behind, most of all after a takeover, its reports wait to be read, or it
+   * has tried in vain and gone elsewhere: that is not its silence. For longer
+   * than its lease nothing excuses it.
+   */
+  silentFrom(m: Machine): number {
+    const excused = Math.min(this.behindAt, m.lastReport + this.timing.workerLeaseMs);
+    return Math.max(m.lastReport, excused);
+  }
+
   private hear(zone: string, now: number): void {
     const h = this.heard.get(zone);
     if (!h || now - h.last > this.timing.reportMs * 1.5)
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -407,7 +407,7 @@
         out.push({ machine: m, why: 'silent' });
         continue;
       }
-      const silent = now - m.lastReport;
+      const silent = now - cluster.silentFrom(m);
       if (silent > cluster.timing.silentMs) {
         if (this.deadLongEnough(m, manySilent, now)) out.push({ machine: m, why: 'silent' });
         continue;
@@ -461,7 +461,7 @@
    */
   private deadLongEnough(m: Machine, manySilent: Set<string>, now: number): boolean {
     const { reportMs, silentMs, workerLeaseMs } = this.cluster.timing;
-    const silent = now - m.lastReport;
+    const silent = now - this.cluster.silentFrom(m);
     if (silent <= silentMs) return false;
     const zone = this.cluster.heard.get(m.zone);
     const heard = zone && zone.last > m.lastReport + reportMs * 1.5;
@@ -495,7 +495,7 @@
     for (const [zone, machines] of late) {
       if (machines.length > Math.max(1, (up.get(zone) ?? 0) * MANY_SHARE)) continue;
       for (const m of machines)
-        if (now - m.lastReport > waitMs && this.waitedFor(m, now)) out.add(m);
+        if (now - cluster.silentFrom(m) > waitMs && this.waitedFor(m, now)) out.add(m);
     }
     return out;
   }
@@ -516,7 +516,7 @@
       const z = zones.get(m.zone) ?? { up: 0, silent: 0 };
       zones.set(m.zone, z);
       z.up++;
-      if (now - m.lastReport > this.cluster.timing.silentMs) z.silent++;
+      if (now - this.cluster.silentFrom(m) > this.cluster.timing.silentMs) z.silent++;
     }
     const many = [...zones].filter(([, z]) => z.silent > Math.max(1, z.up * MANY_SHARE));
     return new Set(many.map(([zone]) => zone));
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -76,6 +76,9 @@
 /** A round's own time is followed by this many times as much for everything else. */
 const ROUND_REST = 8;
 
+/** The same for a look at what is to be rented and returned, which is longer and less pressing. */
+const RENT_REST = 30;
+
 /** Commands to machines under way at the same time, as a part of the sockets; the connections are kept for the next ones. */
 const COMMAND_SOCKETS = 0.07;
 
@@ -394,13 +397,24 @@
   private async confirmAll(signal: AbortSignal): Promise<void> {
     const { ctx } = this;
     const left = [...this.cluster.machines.values()].filter((m) => m.inherited);
-    const lane = async () => {
-      for (let m = left.pop(); m && !signal.aborted; m = left.pop()) {
-        await inTime(ctx.clock, ctx.timing.roundMs, signal);
-        if (m.inherited && m.address !== '') await this.confirm(m, signal);
+    const most = this.sockets(CONFIRM_SOCKETS);
+    let asking = 0;
+    // A worker that reports costs less than one that is asked, and has to be served in any case: the
+    // more are asked at a time the longer nothing is late, and only one when something is.
+    let atOnce = 1;
+    while (left.length > 0) {
+      const early = await inTime(ctx.clock, ctx.timing.roundMs, ctx.timing.workerLeaseMs, signal);
+      atOnce = early ? Math.min(most, atOnce * 2) : 1;
+      for (let n = 0; n < atOnce && asking < most && left.length > 0; ) {
+        const m = left.pop() as Machine;
+        if (!m.inherited || m.address === '') continue;
+        n++;
+        asking++;
+        void this.confirm(m, signal).finally(() => {
+          asking--;
+        });
       }
-    };
-    await Promise.all(Array.from({ length: this.sockets(CONFIRM_SOCKETS) }, lane));
+    }
   }
 
   /** A command under the machine's token. It leaves only while leadership is proven, however long it waited for its connection. */
@@ -434,6 +448,8 @@
   private tell(): void {
     const { cluster, term } = this;
     if (!term.mayStart()) return;
+    // A command costs several times what its orders cost in the answer to a report.
+    if (cluster.isBehind(this.ctx.clock.now())) return;
     const most = this.sockets(COMMAND_SOCKETS);
     for (const m of cluster.toTell) {
       // The rest follows as these are answered, unless a report comes first.
@@ -485,9 +501,11 @@
     const restMs = ctx.timing.roundMs * 10;
     let pauseMs = ctx.timing.roundMs;
     while (!signal.aborted) {
+      const due = ctx.clock.now() + pauseMs;
       await ctx.clock.sleep(pauseMs, signal);
       pauseMs = ctx.timing.roundMs;
       const now = ctx.clock.now();
+      if (now - due > ctx.timing.lateMs) cluster.behind(now);
       // Delays run out without an event: a slow round finds what they free.
       if (!this.term.mayStart() || (!cluster.stirred && now - this.lastRound < restMs)) continue;
       if (this.round(now)) cluster.stirred = true;
@@ -606,14 +624,17 @@
   private async rent(signal: AbortSignal): Promise<void> {
     const { ctx, cluster, renting } = this;
     let toldAt = 0;
+    let tookMs = 0;
     // The list comes first: what an earlier leader rented is not rented again.
     await ctx.clock.sleep(ctx.timing.listMs, signal);
     while (!signal.aborted) {
-      await ctx.clock.sleep(ctx.timing.rentMs, signal);
+      await ctx.clock.sleep(Math.max(ctx.timing.rentMs, tookMs * RENT_REST), signal);
+      await inTime(ctx.clock, ctx.timing.roundMs, ctx.timing.reportMs, signal);
       if (!this.term.proven()) continue;
       const now = ctx.clock.now();
       const plans = renting.plan(now);
       const returns = renting.returns(now).slice(0, RETURN_LIMIT);
+      tookMs = ctx.clock.now() - now;
       if (returns.length > 0) await this.giveBack(returns, signal);
       for (const plan of plans) await this.hire(plan, signal);
       if (now - toldAt > ctx.timing.reportEveryMs) {
--- a/src/duties/reports.ts
+++ b/src/duties/reports.ts
@@ -67,7 +67,7 @@
       };
       this.guests.set(report.machine, guest);
     }
-    const returned = now - guest.seenAt < this.reportMs * 4;
+    const returned = now - guest.seenAt < ctx.timing.reportMs * 4;
     guest.seenAt = now;
     // Now and then one that is served here is sent on all the same: the cut may be over.
     const long = guest.servedSince !== null && now - guest.servedSince > ctx.timing.workerLeaseMs;
@@ -104,10 +104,6 @@
     return { status: 200, body: reportAnswer(tokenOf(term.term, fence), orders) };
   }
 
-  private get reportMs(): number {
-    return this.ctx.platform.settings.workers.report_s * 1000;
-  }
-
   private async stand(report: MachineReport, guest: Guest): Promise<Reply> {
     const { ctx, leadership } = this;
     const term = leadership.knownTerm;
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -8,7 +8,7 @@
   retryAfterS?: number;
 }
 
-export type Handler = (request: Message, signal: AbortSignal) => Promise<Reply> | Reply;
+export type Handler = (request: Message) => Promise<Reply> | Reply;
 
 export interface ServerOptions {
   host: string;
@@ -50,59 +50,142 @@
   return `${head}\r\n${body}`;
 }
 
+interface Held {
+  /** Idle since; null while a request is served. */
+  since: number | null;
+  /** When it is given up, unless something arrives or is taken before. */
+  until: number;
+}
+
 /**
  * The connections that stand. Workers that went elsewhere in a takeover and
  * users that are done leave theirs behind; a full node that refused whoever
- * comes next would keep those and turn away its own machines.
+ * comes next would keep those and turn away its own machines. One look over
+ * all of them now and then serves for time-outs: a timer for each request
+ * cost more than reading it.
  */
 class Connections {
-  /** Idle since, the longest first; null while a request is served. */
-  private readonly since = new Map<net.Socket, number | null>();
+  /** Those that are idle stand in the order since when they are. */
+  private readonly held = new Map<net.Socket, Held>();
 
-  constructor(
-    private readonly most: number,
-    private readonly spareMs: number,
-  ) {}
+  constructor(private readonly options: ServerOptions) {}
 
   admit(socket: net.Socket): boolean {
     const now = Date.now();
-    if (this.since.size >= this.most) {
+    if (this.held.size >= this.options.maxConnections) {
       let left: net.Socket | null = null;
-      for (const [other, since] of this.since) {
+      for (const [other, { since }] of this.held) {
         if (since === null) continue;
-        if (now - since >= this.spareMs) left = other;
+        if (now - since >= this.options.spareMs) left = other;
         break;
       }
       if (!left) return false;
       this.leave(left);
       left.destroy();
     }
-    this.since.set(socket, now);
+    this.held.set(socket, { since: now, until: now + this.options.idleMs });
     return true;
   }
 
+  /** A request arrives, or its reply leaves: either may take so long. */
+  moves(socket: net.Socket): void {
+    const held = this.held.get(socket);
+    if (held) held.until = Date.now() + this.options.requestMs;
+  }
+
+  /** A request is served, which ends in its own time. */
   busy(socket: net.Socket): void {
-    if (this.since.has(socket)) this.since.set(socket, null);
+    const held = this.held.get(socket);
+    if (!held) return;
+    held.since = null;
+    held.until = Number.POSITIVE_INFINITY;
   }
 
   rests(socket: net.Socket): void {
-    if (!this.since.delete(socket)) return;
-    this.since.set(socket, Date.now());
+    const held = this.held.get(socket);
+    if (!held) return;
+    const now = Date.now();
+    held.since = now;
+    held.until = now + this.options.idleMs;
+    this.held.delete(socket);
+    this.held.set(socket, held);
   }
 
   leave(socket: net.Socket): void {
-    this.since.delete(socket);
+    this.held.delete(socket);
+  }
+
+  /** Gives up those whose time is over. */
+  sweep(): void {
+    const now = Date.now();
+    for (const [socket, { until }] of this.held) if (until <= now) socket.destroy();
+  }
+}
+
+/** Looks at time-outs in the shortest of them. */
+const SWEEPS = 4;
+
+/**
+ * What arrives on a socket, a piece at a time. The stream's own iterator does
+ * the same and cost more than all the rest of a report's way.
+ */
+class Arrivals {
+  private readonly pieces: Buffer[] = [];
+  private wake: ((piece: Buffer | null) => void) | null = null;
+  private over = false;
+
+  constructor(private readonly socket: net.Socket) {
+    socket.on('data', (piece) => {
+      if (this.wake) this.give(piece);
+      else {
+        // Nobody reads before the reply has left, so no more is taken from the network either.
+        this.pieces.push(piece);
+        socket.pause();
+      }
+    });
+    const end = () => {
+      this.over = true;
+      this.give(null);
+    };
+    socket.once('end', end);
+    socket.once('close', end);
+  }
+
+  /** Null once nothing more comes. */
+  next(): Promise<Buffer | null> {
+    const piece = this.pieces.shift();
+    if (piece) return Promise.resolve(piece);
+    if (this.over) return Promise.resolve(null);
+    if (this.socket.isPaused()) this.socket.resume();
+    return new Promise((resolve) => {
+      this.wake = resolve;
+    });
+  }
+
+  private give(piece: Buffer | null): void {
+    const wake = this.wake;
+    this.wake = null;
+    wake?.(piece);
   }
 }
 
 /** Serves until the signal ends it. Resolves once listening. */
 export function serve(options: ServerOptions, signal: AbortSignal): Promise<net.Server> {
-  const open = new Connections(options.maxConnections, options.spareMs);
-  const server = net.createServer({ noDelay: true }, (socket) => {
+  const open = new Connections(options);
+  // Who has sent a request and ends its side still gets the reply.
+  const server = net.createServer({ noDelay: true, allowHalfOpen: true }, (socket) => {
     if (open.admit(socket)) void connection(socket, options, open, signal);
     else socket.destroy();
   });
-  signal.addEventListener('abort', () => server.close(), { once: true });
+  const sweeping = setInterval(
+    () => open.sweep(),
+    Math.min(options.requestMs, options.idleMs) / SWEEPS,
+  );
+  const stop = () => {
+    clearInterval(sweeping);
+    server.close();
+  };
+  signal.addEventListener('abort', stop, { once: true });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(options.port, options.host, 511, () => {
@@ -121,65 +204,47 @@
   signal: AbortSignal,
 ): Promise<void> {
   const parser = new Parser('request', REQUEST_LIMITS);
-  const gone = new AbortController();
+  const arrivals = new Arrivals(socket);
   const stop = () => socket.destroy();
   signal.addEventListener('abort', stop, { once: true });
-  socket.on('error', () => socket.destroy());
+  // The connection broke; nothing is owed to it.
+  socket.on('error', stop);
   socket.once('close', () => {
     open.leave(socket);
-    gone.abort();
+    signal.removeEventListener('abort', stop);
   });
-  // Armed by time since the last byte while idle, and by time since the request began while one arrives.
-  let timer = setTimeout(stop, options.idleMs);
-  const arm = (ms: number) => {
-    clearTimeout(timer);
-    timer = setTimeout(stop, ms);
+  const last = (reply: Reply) => {
+    socket.end(encodeReply(reply, false));
+    open.moves(socket);
   };
-  try {
-    let arriving = false;
-    for await (const data of socket) {
-      if (!arriving) arm(options.requestMs);
-      let messages: Message[];
+  let arriving = false;
+  for (let data = await arrivals.next(); data; data = await arrivals.next()) {
+    if (!arriving) open.moves(socket);
+    let messages: Message[];
+    try {
+      messages = parser.push(data);
+    } catch (error) {
+      const status = error instanceof HttpError ? error.status : 400;
+      return last({ status, body: { error: (error as Error).message } });
+    }
+    arriving = parser.busy;
+    for (const request of messages) {
+      open.busy(socket);
+      let reply: Reply;
       try {
-        messages = parser.push(data as Buffer);
+        reply = await options.handler(request);
       } catch (error) {
-        const status = error instanceof HttpError ? error.status : 400;
-        socket.end(encodeReply({ status, body: { error: (error as Error).message } }, false));
-        arm(options.requestMs);
-        return;
-      }
-      arriving = parser.busy;
-      for (const request of messages) {
-        clearTimeout(timer);
-        open.busy(socket);
-        let reply: Reply;
-        try {
-          reply = await options.handler(request, gone.signal);
-        } catch (error) {
-          options.onError(error);
-          reply = { status: 500, body: { error: 'internal error' } };
-        }
-        if (socket.destroyed) return;
-        const text = encodeReply(reply, request.keepAlive);
-        if (!request.keepAlive) {
-          socket.end(text);
-          arm(options.requestMs);
-          return;
-        }
-        socket.write(text);
-        // A peer that never reads must not make us hold its replies.
-        if (socket.writableLength > REQUEST_LIMITS.body * 2) return void socket.destroy();
-        arm(options.idleMs);
-        open.rests(socket);
+        options.onError(error);
+        reply = { status: 500, body: { error: 'internal error' } };
       }
+      if (socket.destroyed) return;
+      if (!request.keepAlive) return last(reply);
+      socket.write(encodeReply(reply, true));
+      // A peer that never reads must not make us hold its replies.
+      if (socket.writableLength > REQUEST_LIMITS.body * 2) return void socket.destroy();
+      open.rests(socket);
     }
-  } catch {
-    // The connection broke; nothing is owed to it.
-    socket.destroy();
-  } finally {
-    clearTimeout(timer);
-    signal.removeEventListener('abort', stop);
-    if (!socket.writableEnded) socket.destroy();
-    else setTimeout(stop, options.requestMs).unref();
   }
+  socket.end();
+  open.moves(socket);
 }
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -7,7 +7,7 @@
 import { WorkerClient } from '../src/clients/worker.js';
 import { HttpClient, NotSent } from '../src/http/client.js';
 import { type Handler, serve } from '../src/http/server.js';
-import { FakeClock } from './support/clock.js';
+import { FakeClock, settle } from './support/clock.js';
 
 async function serving(
   handler: Handler,
@@ -76,6 +76,84 @@
   }
 });
 
+test('a connection is given up when nothing comes for too long or a request takes too long to arrive', async () => {
+  mock.timers.enable({ apis: ['setInterval', 'Date'] });
+  const stop = new AbortController();
+  try {
+    const server = await serve(
+      {
+        host: '127.0.0.1',
+        port: 0,
+        handler: () => ({ status: 200, body: {} }),
+        maxConnections: 10,
+        requestMs: 1000,
+        idleMs: 4000,
+        spareMs: 0,
+        onError: () => {},
+      },
+      stop.signal,
+    );
+    const { port } = server.address() as AddressInfo;
+    const closed: string[] = [];
+    const connect = async (name: string, text: string) => {
+      const socket = net.connect(port, '127.0.0.1');
+      socket.on('data', () => {});
+      const over = new Promise<void>((resolve) => {
+        socket.on('close', () => {
+          closed.push(name);
+          resolve();
+        });
+      });
+      await new Promise((resolve) => socket.once('connect', resolve));
+      if (text) await new Promise<void>((resolve) => socket.write(text, () => resolve()));
+      // A reply to somebody else comes only after all this has been read.
+      await talk(port, 'GET /x HTTP/1.1\r\nConnection: close\r\n\r\n');
+      return over;
+    };
+    const slow = connect('slow', 'POST /x HTTP/1.1\r\nContent-Le');
+    await settle();
+    const idle = connect('idle', '');
+    const used = connect('used', 'GET /x HTTP/1.1\r\n\r\n');
+    await talk(port, 'GET /x HTTP/1.1\r\nConnection: close\r\n\r\n');
+    await settle();
+    mock.timers.tick(1250);
+    await slow;
+    assert.deepEqual(closed, ['slow']);
+    mock.timers.tick(3000);
+    await Promise.all([idle, used]);
+    assert.deepEqual(closed.sort(), ['idle', 'slow', 'used']);
+  } finally {
+    stop.abort();
+    mock.timers.reset();
+  }
+});
+
+test('who ends its side after a request still gets the reply', async () => {
+  let answer: () => void = () => {};
+  const asked = new Promise<void>((resolve) => {
+    answer = resolve;
+  });
+  await serving(
+    async () => {
+      await asked;
+      return { status: 200, body: { late: true } };
+    },
+    async (port) => {
+      let got = '';
+      const socket = net.connect({ port, host: '127.0.0.1', allowHalfOpen: true });
+      socket.on('data', (d) => {
+        got += d;
+      });
+      socket.end('GET /x HTTP/1.1\r\n\r\n');
+      await new Promise((resolve) => socket.once('finish', resolve));
+      for (let i = 0; i < 5; i++) await settle();
+      answer();
+      await new Promise((resolve) => socket.once('close', resolve));
+      assert.match(got, /"late":true/);
+    },
+  );
+});
+
 test('client and server keep one connection for several requests', async () => {
   const ports = new Set<string>();
   await serving(
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -198,3 +198,27 @@
     [['n-1', 'missing']],
   );
 });
+
+test('a leader that is late itself takes no machine for silent, but not for longer than a lease', () => {
+  const c = cluster({ term: 2 });
+  const r = new Renting(c);
+  const workers = Array.from({ length: 10 }, (_, i) => new ScriptedWorker(`n-${i}`));
+  for (const w of workers) c.inheritMachine(w.id, 'm16', 'a', false, '', 0);
+  c.addJob(spec({ tasks: 50 }), 1, 0, true);
+  const returned = (now: number) => {
+    for (const w of workers.slice(0, 9)) joined(c, w, now);
+    return r.returns(now).map((x) => x.machine.id);
+  };
+  // One has not been served two reports after the takeover, and work waits for it.
+  c.behind(6000);
+  assert.deepEqual(returned(8500), []);
+  c.behind(13_000);
+  assert.deepEqual(returned(14_000), []);
+  // The leader is behind all the while: a lease after the takeover that is no excuse any more.
+  for (let now = 15_000; now <= 26_000; now += 1000) {
+    c.behind(now);
+    assert.deepEqual(returned(now), []);
+  }
+  c.behind(27_000);
+  assert.deepEqual(returned(27_000), ['n-9']);
+});
