--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -316,6 +316,7 @@
   private readonly tasks = 3;
   private jobs = 0;
   private lives = 0;
+  private replaced = 0;
   private readonly heardAt = new Map<string, number>();
 
   constructor(
@@ -400,8 +401,8 @@
     if (!m) return;
     m.gone = true;
     this.machines = this.machines.filter((x) => x !== m);
-    const next = 1 + Math.max(...this.machines.map((x) => Number(x.worker.id.slice(2))), 100);
-    this.machines.push(new PlayedMachine(this, `n-${next}`, m.worker.zone));
+    // Names are never used again.
+    this.machines.push(new PlayedMachine(this, `n-${100 + ++this.replaced}`, m.worker.zone));
   }
 
   commands(from: Controller) {
