A leader without news resigns; an oversized body is malformed; cancel in the field's word

Found by argument: with its renewals answered and its readings not, a leader starts nothing and after a while answers nobody, and it led on for ever.

The protocol knows 400 for what is malformed, and a user repeats after any other status, so a body over 64 KiB gets 400 instead of 413.

Named for what it is: users cancel jobs; the wire's word stays in src/protocol.

--- a/src/duties/leadership.ts
+++ b/src/duties/leadership.ts
@@ -204,6 +204,9 @@
       try {
         if (await ctx.state.touch(lease, ended.signal)) provenAt = Math.max(provenAt, sentAt);
         else term.resign('lease ended');
+        // Its renewals are answered and its readings are not: it serves nobody, and another may.
+        if (clock.now() - Math.max(grantedAt, informedAt) >= timing.answerMs)
+          term.resign('no news of jobs for too long');
       } catch (error) {
         if (ended.signal.aborted) return;
         ctx.log.debug({ error: String((error as Error).message) }, 'renewal not answered');
--- a/src/duties/node.ts
+++ b/src/duties/node.ts
@@ -7,7 +7,7 @@
 import { timingOf } from '../config/timing.js';
 import type { Message } from '../http/parser.js';
 import { type Reply, serve } from '../http/server.js';
-import { PATHS, parseReport, WITHDRAW } from '../protocol/wire.js';
+import { CANCEL, PATHS, parseReport } from '../protocol/wire.js';
 import { type Clock, pause } from './clock.js';
 import type { Context } from './context.js';
 import { Health } from './health.js';
@@ -194,8 +194,8 @@
       const rest = target.slice(PATHS.jobs.length + 1).split('/');
       const id = rest[0] as string;
       if (rest.length === 1) return only('GET', method, () => this.users.query(id));
-      if (rest.length === 2 && rest[1] === WITHDRAW)
-        return only('POST', method, () => this.users.withdraw(id));
+      if (rest.length === 2 && rest[1] === CANCEL)
+        return only('POST', method, () => this.users.cancel(id));
     }
     return { status: 404, body: { error: 'no such path' } };
   }
--- a/src/duties/users.ts
+++ b/src/duties/users.ts
@@ -131,7 +131,7 @@
     }
   }
 
-  async withdraw(id: string): Promise<Reply> {
+  async cancel(id: string): Promise<Reply> {
     if (!JOB_ID.test(id)) return refuse(404, 'no such job');
     try {
       // Twice at the most: a live job that has moved meanwhile has its end.
--- a/src/http/parser.ts
+++ b/src/http/parser.ts
@@ -121,7 +121,7 @@
         if (!/^[0-9a-fA-F]{1,8}$/.test(hex)) throw new HttpError(400, 'bad chunk size');
         this.need = Number.parseInt(hex, 16);
         if (this.bodySize + this.need > this.limits.body)
-          throw new HttpError(413, 'body too large');
+          throw new HttpError(400, 'body too large');
         this.headerCount = 0;
         this.stage = this.need === 0 ? 'trailer' : 'chunkData';
         return false;
@@ -195,7 +195,7 @@
     if (length !== undefined) {
       if (!/^\d{1,15}$/.test(length)) throw new HttpError(400, 'bad content length');
       this.need = Number(length);
-      if (this.need > this.limits.body) throw new HttpError(413, 'body too large');
+      if (this.need > this.limits.body) throw new HttpError(400, 'body too large');
       if (this.need === 0) return true;
       this.stage = 'body';
       return false;
@@ -212,7 +212,7 @@
 
   private keep(part: Buffer): void {
     this.bodySize += part.length;
-    if (this.bodySize > this.limits.body) throw new HttpError(413, 'body too large');
+    if (this.bodySize > this.limits.body) throw new HttpError(400, 'body too large');
     this.chunks.push(Buffer.from(part));
   }
 
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -32,7 +32,6 @@
   404: 'Not Found',
   405: 'Method Not Allowed',
   411: 'Length Required',
-  413: 'Content Too Large',
   414: 'URI Too Long',
   421: 'Misdirected Request',
   422: 'Unprocessable Content',
--- a/src/protocol/wire.ts
+++ b/src/protocol/wire.ts
@@ -29,7 +29,8 @@
   watch: '/follow',
 } as const;
 
-export const WITHDRAW = 'withdraw';
+/** What follows a job's id in the path of its cancellation. */
+export const CANCEL = 'withdraw';
 export const JOB_ID = /^req-[0-9]{1,60}$/;
 const MAX_TASKS = 100_000;
 /** Larger amounts than this are absurd for one task and would drown sums. */
