--- /dev/null
+++ b/src/duties/flusher.ts
@@ -0,0 +1,113 @@
+import { Priority } from '../clients/budget.js';
+import { Refused } from '../clients/state.js';
+import { type Cluster, chunkKey } from '../core/cluster.js';
+import { flushUnits, type Unit, unknownChunks } from '../core/flush.js';
+import { Stopped } from './clock.js';
+import type { Context } from './context.js';
+import { LEADER_KEY, type Term } from './leadership.js';
+
+/** A transaction's own limit in the protocol, with room for its frame. */
+const TRANSACTION_BYTES = 56 * 1024;
+/** A part of the changes is progress; the rest stays for submissions, cancellations and ends. */
+const PROGRESS_SHARE = 0.3;
+/** Progress that was not needed for a while may follow in a burst, in seconds of all changes. */
+const PROGRESS_BURST_S = 0.5;
+/** Ticks to wait after a transaction that was not answered. */
+const FAILED_REST = 3;
+
+/** Writes what a leader has to keep: ends of jobs, finished tasks and the roster. */
+export class Flusher {
+  constructor(
+    private readonly ctx: Context,
+    private readonly term: Term,
+    private readonly cluster: Cluster,
+  ) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { ctx, cluster } = this;
+    const { state } = ctx.platform.settings;
+    const tickMs = ctx.timing.flushMs;
+    const sparePerTick = (state.write_rps * PROGRESS_SHARE * tickMs) / 1000;
+    let spare = 0;
+    while (!signal.aborted) {
+      await ctx.clock.sleep(tickMs, signal);
+      spare = Math.min(spare + sparePerTick, state.write_rps * PROGRESS_BURST_S);
+      await this.findChunks(signal);
+      const units = flushUnits(cluster, { spare });
+      let from = 0;
+      while (from < units.length) {
+        const batch = this.nextBatch(units, from);
+        from += batch.length;
+        spare = Math.max(0, spare - batch.filter((u) => u.changes.length === 1).length);
+        if (!(await this.write(batch))) {
+          for (const u of units.slice(from)) u.retry(false);
+          break;
+        }
+      }
+    }
+  }
+
+  /** As many of the next units as a transaction takes, and one at the least. */
+  private nextBatch(units: Unit[], from: number): Unit[] {
+    const batch: Unit[] = [];
+    let changes = 0;
+    let bytes = 0;
+    for (const unit of units.slice(from)) {
+      if (batch.length > 0) {
+        if (changes + unit.changes.length > this.ctx.platform.settings.state.txn_ops) break;
+        if (bytes + unit.size > TRANSACTION_BYTES) break;
+      }
+      batch.push(unit);
+      changes += unit.changes.length;
+      bytes += unit.size;
+    }
+    return batch;
+  }
+
+  /** Reads anew which version of a bitmap stands after a write of it had no answer. */
+  private async findChunks(signal: AbortSignal): Promise<void> {
+    for (const { job, chunk } of unknownChunks(this.cluster)) {
+      try {
+        const key = chunkKey(job.spec.id, chunk);
+        const entry = await this.ctx.state.get(key, Priority.ends, signal);
+        job.chunks.set(chunk, entry?.version ?? 0);
+      } catch (error) {
+        if (signal.aborted) throw new Stopped();
+        this.ctx.log.debug({ error: String((error as Error).message) }, 'bitmap not read');
+        return;
+      }
+    }
+  }
+
+  /** False: the state service did not take it; the rest waits for the next turn. */
+  private async write(batch: Unit[]): Promise<boolean> {
+    const { term, ctx } = this;
+    try {
+      const result = await ctx.state.transact(
+        [{ key: LEADER_KEY, version: term.version }, ...batch.flatMap((u) => u.conditions)],
+        batch.flatMap((u) => u.changes),
+        Priority.ends,
+        term.signal,
+      );
+      if (result.ok) {
+        for (const u of batch) u.applied(result.revision);
+        return true;
+      }
+      if (result.failed.includes(LEADER_KEY)) {
+        term.resign('another leader holds the key');
+        for (const u of batch) u.retry(false);
+        return false;
+      }
+      for (const u of batch)
+        if (u.conditions.some((c) => result.failed.includes(c.key))) u.conflict(result.failed);
+        else u.retry(false);
+      return true;
+    } catch (error) {
+      for (const u of batch) u.retry(!(error instanceof Refused));
+      if (!term.signal.aborted)
+        ctx.log.debug({ error: String((error as Error).message) }, 'flush not answered');
+      await ctx.clock.sleep(ctx.timing.flushMs * FAILED_REST, term.signal);
+      return false;
+    }
+  }
+}
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -1,25 +1,24 @@
 import { setMaxListeners } from 'node:events';
 import { Priority } from '../clients/budget.js';
 import type { CloudClient } from '../clients/cloud.js';
-import { RETURN_LIMIT } from '../clients/cloud.js';
-import { Refused } from '../clients/state.js';
 import type { WorkerClient } from '../clients/worker.js';
 import type { Policy } from '../config/policy.js';
 import type { Platform } from '../config/settings.js';
-import { type Aims, Cluster, type CorePolicy, chunkKey } from '../core/cluster.js';
-import { flushUnits, type Unit, unknownChunks } from '../core/flush.js';
-import type { Binding, Machine } from '../core/machine.js';
-import type { ListedMachine, MachineReport, Order } from '../core/model.js';
+import { type Aims, Cluster, type CorePolicy } from '../core/cluster.js';
+import type { MachineReport, Order } from '../core/model.js';
 import { fill, round } from '../core/placement.js';
-import { type Load, Renting, type RentPlan } from '../core/renting.js';
+import { type Load, Renting } from '../core/renting.js';
 import type { RosterEntry } from '../core/roster.js';
-import { NotSent, NotTried } from '../http/client.js';
 import type { Entry, StoreEvent } from '../protocol/store.js';
-import { isObject, tokenOf } from '../protocol/wire.js';
-import { inTime, Stopped } from './clock.js';
+import { isObject } from '../protocol/wire.js';
+import { Stopped } from './clock.js';
+import { Commands } from './commands.js';
 import type { Context, LiveRecord } from './context.js';
+import { Fleet } from './fleet.js';
+import { Flusher } from './flusher.js';
 import { LEADER_KEY, type Term } from './leadership.js';
-import { readTypes, storeTypes } from './types.js';
+import { retry } from './retry.js';
+import { readTypes } from './types.js';
 
 const LIVE = 'live/';
 const BITS = 'bits/';
@@ -27,8 +26,6 @@
 const ROSTER = 'roster/';
 /** About what a machine takes in a page of the roster. */
 const ROSTER_ENTRY_BYTES = 128;
-/** A transaction's own limit in the protocol, with room for its frame. */
-const TRANSACTION_BYTES = 56 * 1024;
 
 export function corePolicy(p: Policy): CorePolicy {
   return {
@@ -71,17 +68,10 @@
 }
 
 type Page = Awaited<ReturnType<Context['state']['listPage']>>;
-type MachinePage = Awaited<ReturnType<CloudClient['list']>>;
 
 /** A round's own time is followed by this many times as much for everything else. */
 const ROUND_REST = 8;
 
-/** The same for a look at what is to be rented and returned, which is longer and less pressing. */
-const RENT_REST = 30;
-
-/** Asking machines after a takeover is followed by this many times as much for their own reports. */
-const CONFIRM_REST = 2;
-
 /** Commands to machines under way at the same time, as a part of the sockets; the connections are kept for the next ones. */
 const COMMAND_SOCKETS = 0.07;
 
@@ -126,18 +116,19 @@
   private readonly read = new Promise<void>((resolve) => {
     this.begin = resolve;
   });
-  private hires = 0;
+  private readonly commands: Commands;
+  private readonly flusher: Flusher;
+  private readonly fleet: Fleet;
   private lastRound = 0;
   /** Jobs up to this version are counted in what is expected. */
   private counted = 0;
-  /** Machines with a direct command under way: one at a time each. */
-  private readonly telling = new Set<string>();
+
   constructor(
     private readonly ctx: Context,
     private readonly cloud: Pick<CloudClient, 'types' | 'list' | 'rent' | 'giveBack'>,
     readonly term: Term,
     private readonly policy: CorePolicy,
-    private readonly workers: Pick<WorkerClient, 'command' | 'keep' | 'close'>,
+    workers: Pick<WorkerClient, 'command' | 'keep' | 'close'>,
   ) {
     const { workers: agents, state, objectives } = ctx.platform.settings;
     this.cluster = new Cluster(
@@ -159,11 +150,15 @@
     this.renting = new Renting(this.cluster);
     this.cluster.onGone = (m) => this.renting.freed(m, ctx.clock.now());
     setMaxListeners(0, term.signal);
-    term.signal.addEventListener('abort', () => this.workers.close(), { once: true });
-  }
-
-  private sockets(share: number): number {
-    return socketsOf(this.ctx.platform, share);
+    this.commands = new Commands(ctx, term, this.cluster, workers, {
+      commands: socketsOf(ctx.platform, COMMAND_SOCKETS),
+      confirmations: socketsOf(ctx.platform, CONFIRM_SOCKETS),
+    });
+    this.flusher = new Flusher(ctx, term, this.cluster);
+    this.fleet = new Fleet(ctx, term, this.cluster, this.renting, cloud, (addresses) =>
+      workers.keep(addresses),
+    );
+    term.signal.addEventListener('abort', () => workers.close(), { once: true });
   }
 
   async run(): Promise<void> {
@@ -183,14 +178,14 @@
       'takeover read',
     );
     await Promise.all([
-      this.duty('confirm', (s) => this.confirmAll(s)),
+      this.duty('confirm', (s) => this.commands.confirmAll(s)),
       this.duty('watch', (s) => this.watch(revision, s)),
       this.duty('rounds', (s) => this.rounds(s)),
-      this.duty('flush', (s) => this.flush(s)),
-      this.duty('list', (s) => this.listMachines(s)),
-      this.duty('renting', (s) => this.rent(s)),
+      this.duty('flush', (s) => this.flusher.run(s)),
+      this.duty('list', (s) => this.fleet.listMachines(s)),
+      this.duty('renting', (s) => this.fleet.rent(s)),
       this.duty('loads', (s) => this.keepLoads(s)),
-      this.duty('types', (s) => this.refreshTypes(s)),
+      this.duty('types', (s) => this.fleet.refreshTypes(s)),
     ]);
   }
 
@@ -205,28 +200,15 @@
     }
   }
 
-  /** Repeats a call of a duty until it is answered or the term ends. */
-  private async insist<T>(call: (signal: AbortSignal) => Promise<T>): Promise<T> {
-    for (let tries = 0; ; tries++) {
-      try {
-        return await call(this.term.signal);
-      } catch (error) {
-        if (this.term.signal.aborted) throw new Stopped();
-        const wait = this.ctx.timing.renewMs * Math.min(2, 0.15 * 2 ** tries);
-        const hint = error instanceof Refused ? Math.min(error.retryMs, wait) : wait;
-        this.ctx.log.debug({ error: String((error as Error).message) }, 'call repeated');
-        await this.ctx.clock.sleep(hint * (0.7 + Math.random() * 0.6), this.term.signal);
-      }
-    }
-  }
-
   private async readAll(prefix: string): Promise<{ entries: Entry[]; revision: number }> {
     const entries: Entry[] = [];
     let after: string | null = null;
     let revision: number | null = null;
     for (;;) {
       const from: string | null = after;
-      const page: Page = await this.insist((s) => this.ctx.state.listPage(prefix, from, s));
+      const page: Page = await retry(this.ctx, this.term.signal, (s) =>
+        this.ctx.state.listPage(prefix, from, s),
+      );
       // Events since the first page are applied again over the later ones.
       revision ??= page.revision;
       entries.push(...page.entries);
@@ -240,7 +222,8 @@
     const { ctx, cluster } = this;
     const now = ctx.clock.now();
     cluster.wallOffset = ctx.clock.wall() - now;
-    if (!ctx.types) ctx.types = await this.insist((s) => readTypes(ctx, this.cloud, s));
+    if (!ctx.types)
+      ctx.types = await retry(ctx, this.term.signal, (s) => readTypes(ctx, this.cloud, s));
     cluster.setTypes(ctx.types ?? []);
     const roster = await this.readAll(ROSTER);
     for (const e of roster.entries) {
@@ -253,7 +236,9 @@
     const askedAt = ctx.clock.now();
     const live = await this.readAll(LIVE);
     // What was expected before goes on; jobs that arrived since it was written add to it.
-    const entry = await this.insist((s) => ctx.state.get(LOADS_KEY, Priority.lead, s));
+    const entry = await retry(ctx, this.term.signal, (s) =>
+      ctx.state.get(LOADS_KEY, Priority.lead, s),
+    );
     const kept = entry && isObject(entry.value) ? (entry.value as unknown as KeptLoads) : null;
     if (kept && Array.isArray(kept.loads)) {
       this.renting.restore(kept.loads);
@@ -295,7 +280,9 @@
     while (!signal.aborted) {
       let askedAt = ctx.clock.now();
       const from = after;
-      const got = await this.insist((s) => ctx.state.watch(LIVE, from, ctx.timing.newsMs, s));
+      const got = await retry(ctx, this.term.signal, (s) =>
+        ctx.state.watch(LIVE, from, ctx.timing.newsMs, s),
+      );
       if (got) {
         for (const e of got.events) this.apply(e);
         after = got.revision;
@@ -319,7 +306,7 @@
     if (e.op === 'put') this.addLive(e.key, e.value, e.version);
     else this.cluster.endJob(e.key.slice(LIVE.length));
     // What the job still runs is stopped without waiting for reports.
-    if (this.cluster.toTell.size > 0) setImmediate(() => this.tell());
+    this.commands.sendPendingSoon();
   }
 
   /**
@@ -329,7 +316,7 @@
    */
   cancelled(id: string, revision: number): void {
     this.cluster.announceEnd(id, revision);
-    if (this.cluster.toTell.size > 0) setImmediate(() => this.tell());
+    this.commands.sendPendingSoon();
   }
 
   /** Waits until the state service has been read, or for as long as a report's answer may take. */
@@ -358,14 +345,14 @@
       if (relayed && (m.lostAnswers === 0 || tried)) cluster.hears(m);
       else if (!relayed) {
         cluster.toProbe.add(m);
-        setImmediate(() => this.tell());
+        setImmediate(() => this.commands.sendPending());
       }
     }
     if (!m.confirmed || !term.mayStart()) return { orders: cluster.endsOf(r), fence: m.fence };
     // Room that this report has freed is filled in its own answer.
     fill(cluster, m, this.policy.machineStarts, now);
     // A command under way would be refused under the new token.
-    if (!this.telling.has(m.id)) cluster.fenceOff(m, now);
+    if (!this.commands.isUnderWay(m.id)) cluster.fenceOff(m, now);
     return { orders: cluster.orders(m), fence: m.fence };
   }
 
@@ -389,116 +376,10 @@
     const limit = Math.max(this.policy.machineStarts, Math.ceil(ready / 8));
     const result = round(this.cluster, limit, now);
     // After the answer to a report that is being handled now has taken its own orders.
-    if (this.cluster.toTell.size > 0) setImmediate(() => this.tell());
+    this.commands.sendPendingSoon();
     return result.started.length >= limit;
   }
 
-  /**
-   * Tells the inherited machines the new token without waiting for their
-   * reports: an answer under it confirms the machine.
-   */
-  private async confirmAll(signal: AbortSignal): Promise<void> {
-    const { ctx } = this;
-    const { clock, timing } = ctx;
-    const left = [...this.cluster.machines.values()].filter((m) => m.inherited);
-    const most = this.sockets(CONFIRM_SOCKETS);
-    let atOnce = 1;
-    while (left.length > 0) {
-      await inTime(clock, timing.roundMs, timing.workerLeaseMs, signal);
-      const asked: Promise<void>[] = [];
-      while (asked.length < atOnce && left.length > 0) {
-        const m = left.pop() as Machine;
-        if (m.inherited && m.address !== '') asked.push(this.confirm(m, signal));
-      }
-      const began = clock.now();
-      // One that does not answer holds up nobody.
-      await Promise.race([Promise.all(asked), clock.sleep(timing.lateMs, signal)]);
-      const tookMs = clock.now() - began;
-      atOnce = tookMs < timing.lateMs * 0.5 ? Math.min(most, atOnce * 2) : Math.ceil(atOnce / 2);
-      // A worker that reports costs less than one that is asked, and has to be served in any case.
-      await clock.sleep(tookMs * CONFIRM_REST, signal);
-    }
-  }
-
-  /** A command under the machine's token. It leaves only while leadership is proven, however long it waited for its connection. */
-  private send(m: Machine, session: number, orders: Order[]) {
-    const { term } = this;
-    const token = tokenOf(term.term, m.fence);
-    return this.workers.command(m.address, token, session, orders, term.signal, term.proven);
-  }
-
-  private async confirm(m: Machine, signal: AbortSignal): Promise<void> {
-    const { term, ctx } = this;
-    try {
-      // Most machines are in their first session; the refusal tells of a later one.
-      let session = Math.max(1, m.session);
-      for (let tries = 0; tries < 2 && term.proven(); tries++) {
-        const answer = await this.send(m, session, []);
-        this.takeCommandAnswer(m, answer.report);
-        if (answer.executed || answer.report.session === session) return;
-        session = answer.report.session;
-      }
-    } catch (error) {
-      if (!signal.aborted)
-        ctx.log.debug(
-          { machine: m.id, error: String((error as Error).message) },
-          'not confirmed by command',
-        );
-    }
-  }
-
-  /** Sends what should not wait for the machines' next reports. */
-  private tell(): void {
-    const { cluster, term } = this;
-    if (!term.mayStart()) return;
-    // A command costs several times what its orders cost in the answer to a report.
-    if (cluster.isBehind(this.ctx.clock.now())) return;
-    const most = this.sockets(COMMAND_SOCKETS);
-    for (const m of cluster.toTell) {
-      // The rest follows as these are answered, unless a report comes first.
-      if (this.telling.size >= most) return;
-      if (this.telling.has(m.id)) continue;
-      cluster.toTell.delete(m);
-      const { orders, starts } = cluster.urgent(m);
-      if (orders.length > 0) void this.command(m, orders, starts);
-    }
-    for (const m of cluster.toProbe) {
-      if (this.telling.size >= most) return;
-      if (this.telling.has(m.id) || m.address === '') continue;
-      cluster.toProbe.delete(m);
-      void this.command(m, [], []);
-    }
-  }
-
-  private async command(m: Machine, orders: Order[], starts: Binding[]): Promise<void> {
-    const { cluster, term, ctx } = this;
-    this.telling.add(m.id);
-    try {
-      const answer = await this.send(m, m.session, orders);
-      this.takeCommandAnswer(m, answer.report);
-      cluster.answered(starts, answer.executed, answer.report.seq);
-      if (answer.executed) cluster.hears(m);
-    } catch (error) {
-      if (error instanceof NotSent) cluster.unsent(starts);
-      const tried = !(error instanceof NotTried);
-      if (tried && !term.signal.aborted && !m.relayed) cluster.unheard(m, ctx.clock.now());
-      if (!term.signal.aborted)
-        ctx.log.debug(
-          { machine: m.id, error: String((error as Error).message) },
-          'command not answered',
-        );
-    } finally {
-      this.telling.delete(m.id);
-      if (cluster.toTell.size > 0) setImmediate(() => this.tell());
-    }
-  }
-
-  private takeCommandAnswer(m: Machine, report: MachineReport): void {
-    if (report.machine !== m.id) return;
-    if (report.term > this.term.term) this.term.resign('a worker knows a higher token');
-    else this.cluster.report(report, false, this.ctx.clock.now());
-  }
-
   private async rounds(signal: AbortSignal): Promise<void> {
     const { ctx, cluster } = this;
     const restMs = ctx.timing.roundMs * 10;
@@ -517,194 +398,6 @@
     }
   }
 
-  private async flush(signal: AbortSignal): Promise<void> {
-    const { ctx, cluster } = this;
-    const { state } = ctx.platform.settings;
-    const tickMs = ctx.timing.flushMs;
-    // A part of the changes is progress; the rest stays for submissions, cancellations and ends.
-    const sparePerTick = (state.write_rps * 0.3 * tickMs) / 1000;
-    let spare = 0;
-    while (!signal.aborted) {
-      await ctx.clock.sleep(tickMs, signal);
-      spare = Math.min(spare + sparePerTick, state.write_rps * 0.5);
-      await this.findChunks(signal);
-      const units = flushUnits(cluster, { spare });
-      let from = 0;
-      while (from < units.length) {
-        const batch: Unit[] = [];
-        let changes = 0;
-        let bytes = 0;
-        for (const u of units.slice(from)) {
-          if (batch.length > 0) {
-            if (changes + u.changes.length > state.txn_ops) break;
-            if (bytes + u.size > TRANSACTION_BYTES) break;
-          }
-          batch.push(u);
-          changes += u.changes.length;
-          bytes += u.size;
-        }
-        from += batch.length;
-        spare = Math.max(0, spare - batch.filter((u) => u.changes.length === 1).length);
-        if (!(await this.write(batch))) {
-          for (const u of units.slice(from)) u.retry(false);
-          break;
-        }
-      }
-    }
-  }
-
-  /** Reads anew which version of a bitmap stands after a write of it had no answer. */
-  private async findChunks(signal: AbortSignal): Promise<void> {
-    for (const { job, chunk } of unknownChunks(this.cluster)) {
-      try {
-        const key = chunkKey(job.spec.id, chunk);
-        const entry = await this.ctx.state.get(key, Priority.ends, signal);
-        job.chunks.set(chunk, entry?.version ?? 0);
-      } catch (error) {
-        if (signal.aborted) throw new Stopped();
-        this.ctx.log.debug({ error: String((error as Error).message) }, 'bitmap not read');
-        return;
-      }
-    }
-  }
-
-  /** False: the state service did not take it; the rest waits for the next turn. */
-  private async write(batch: Unit[]): Promise<boolean> {
-    const { term, ctx } = this;
-    try {
-      const result = await ctx.state.transact(
-        [{ key: LEADER_KEY, version: term.version }, ...batch.flatMap((u) => u.conditions)],
-        batch.flatMap((u) => u.changes),
-        Priority.ends,
-        term.signal,
-      );
-      if (result.ok) {
-        for (const u of batch) u.applied(result.revision);
-        return true;
-      }
-      if (result.failed.includes(LEADER_KEY)) {
-        term.resign('another leader holds the key');
-        for (const u of batch) u.retry(false);
-        return false;
-      }
-      for (const u of batch)
-        if (u.conditions.some((c) => result.failed.includes(c.key))) u.conflict(result.failed);
-        else u.retry(false);
-      return true;
-    } catch (error) {
-      for (const u of batch) u.retry(!(error instanceof Refused));
-      if (!term.signal.aborted)
-        ctx.log.debug({ error: String((error as Error).message) }, 'flush not answered');
-      await ctx.clock.sleep(ctx.timing.flushMs * 3, term.signal);
-      return false;
-    }
-  }
-
-  private async listMachines(signal: AbortSignal): Promise<void> {
-    const { ctx, cluster } = this;
-    while (!signal.aborted) {
-      try {
-        const askedAt = ctx.clock.now();
-        const all: ListedMachine[] = [];
-        let after: string | null = null;
-        for (;;) {
-          const page: MachinePage = await this.cloud.list(after, signal);
-          all.push(...page.machines);
-          const last = page.machines.at(-1);
-          if (!page.more || !last) break;
-          after = last.id;
-        }
-        cluster.listed(all, askedAt, ctx.clock.now());
-        this.workers.keep(new Set([...cluster.machines.values()].map((m) => m.address)));
-      } catch (error) {
-        if (signal.aborted) return;
-        ctx.log.debug({ error: String((error as Error).message) }, 'machine list not answered');
-      }
-      await ctx.clock.sleep(ctx.timing.listMs, signal);
-    }
-  }
-
-  private async rent(signal: AbortSignal): Promise<void> {
-    const { ctx, cluster, renting } = this;
-    let toldAt = 0;
-    let tookMs = 0;
-    // The list comes first: what an earlier leader rented is not rented again.
-    await ctx.clock.sleep(ctx.timing.listMs, signal);
-    while (!signal.aborted) {
-      await ctx.clock.sleep(Math.max(ctx.timing.rentMs, tookMs * RENT_REST), signal);
-      await inTime(ctx.clock, ctx.timing.roundMs, ctx.timing.reportMs, signal);
-      if (!this.term.proven()) continue;
-      const now = ctx.clock.now();
-      const plans = renting.plan(now);
-      const returns = renting.returns(now).slice(0, RETURN_LIMIT);
-      tookMs = ctx.clock.now() - now;
-      if (returns.length > 0) await this.giveBack(returns, signal);
-      for (const plan of plans) await this.hire(plan, signal);
-      if (now - toldAt > ctx.timing.reportEveryMs) {
-        toldAt = now;
-        ctx.log.info(
-          { term: this.term.term, jobs: cluster.jobs.size, ...renting.overview(now) },
-          'fleet',
-        );
-      }
-    }
-  }
-
-  private async giveBack(
-    returns: { machine: Machine; why: Machine['drain'] }[],
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { ctx, cluster } = this;
-    for (const r of returns) if (r.why) cluster.drain(r.machine, r.why);
-    try {
-      await this.cloud.giveBack(
-        returns.map((r) => r.machine.id),
-        signal,
-        this.term.proven,
-      );
-      for (const r of returns) cluster.machineGone(r.machine.id, `returned: ${r.why}`);
-    } catch (error) {
-      if (signal.aborted) return;
-      ctx.log.debug({ error: String((error as Error).message) }, 'return not answered');
-    }
-  }
-
-  private async hire(plan: RentPlan, signal: AbortSignal): Promise<void> {
-    const { ctx, cluster, renting } = this;
-    // Never used again, by this process or another.
-    const name = `${ctx.incarnation}-${this.term.term}-${++this.hires}`;
-    const request = {
-      name,
-      type: plan.type,
-      zone: plan.zone,
-      spot: plan.spot,
-      count: plan.count,
-    };
-    for (let tries = 0; tries < 3; tries++) {
-      if (!this.term.proven()) return;
-      try {
-        const got = await this.cloud.rent(request, signal, this.term.proven);
-        const now = ctx.clock.now();
-        const fields = { term: this.term.term, ...request, ...plan.why };
-        if (got === null) {
-          renting.refused(plan, now);
-          ctx.log.info(fields, 'rent refused: no capacity');
-          return;
-        }
-        if (got.length < plan.count) renting.refused(plan, now);
-        else renting.granted(plan);
-        ctx.log.info({ ...fields, machines: got }, 'rented');
-        for (const id of got) cluster.machine(id, plan.type, plan.zone, plan.spot, 0, now);
-        return;
-      } catch (error) {
-        if (signal.aborted) return;
-        // The same name again: had it been carried out, the answer is the same machines.
-        ctx.log.debug({ name, error: String((error as Error).message) }, 'rent not answered');
-        await ctx.clock.sleep(ctx.timing.rentMs * 0.5, signal);
-      }
-    }
-  }
-
   /** Keeps what work is expected for the next leader. */
   private async keepLoads(signal: AbortSignal): Promise<void> {
     const { ctx } = this;
@@ -724,19 +417,4 @@
       }
     }
   }
-
-  private async refreshTypes(signal: AbortSignal): Promise<void> {
-    const { ctx, cluster } = this;
-    while (!signal.aborted) {
-      try {
-        const types = await this.cloud.types(signal);
-        cluster.setTypes(types);
-        await storeTypes(ctx, types, signal);
-      } catch (error) {
-        if (signal.aborted) return;
-        ctx.log.debug({ error: String((error as Error).message) }, 'machine types not answered');
-      }
-      await ctx.clock.sleep(ctx.timing.typesMs, signal);
-    }
-  }
 }
--- /dev/null
+++ b/src/duties/retry.ts
@@ -0,0 +1,29 @@
+import { Refused } from '../clients/state.js';
+import { Stopped } from './clock.js';
+import type { Context } from './context.js';
+
+/** The first pause after a failed call, in renewal intervals; it doubles up to the longest one. */
+const FIRST_PAUSE = 0.15;
+const LONGEST_PAUSE = 2;
+/** Pauses are spread from this share of their length over the following range. */
+const JITTER_FROM = 0.7;
+const JITTER_RANGE = 0.6;
+
+/** Repeats a call until it is answered; throws Stopped once the signal is aborted. */
+export async function retry<T>(
+  ctx: Context,
+  signal: AbortSignal,
+  call: (signal: AbortSignal) => Promise<T>,
+): Promise<T> {
+  for (let tries = 0; ; tries++) {
+    try {
+      return await call(signal);
+    } catch (error) {
+      if (signal.aborted) throw new Stopped();
+      const wait = ctx.timing.renewMs * Math.min(LONGEST_PAUSE, FIRST_PAUSE * 2 ** tries);
+      const hint = error instanceof Refused ? Math.min(error.retryMs, wait) : wait;
+      ctx.log.debug({ error: String((error as Error).message) }, 'call repeated');
+      await ctx.clock.sleep(hint * (JITTER_FROM + Math.random() * JITTER_RANGE), signal);
+    }
+  }
+}
