--- a/src/clients/budget.ts
+++ b/src/clients/budget.ts
@@ -16,8 +16,8 @@
   private last: number;
 
   constructor(
-    private readonly perSecond: number,
-    private readonly burst: number,
+    private perSecond: number,
+    private burst: number,
     now: number,
   ) {
     this.tokens = burst;
@@ -37,6 +37,14 @@
     return ((need - this.tokens) / this.perSecond) * 1000 + 1;
   }
 
+  /** From now on no more than this, the reserves with it. */
+  lower(perSecond: number, now: number): void {
+    this.refill(now);
+    this.burst = Math.min(this.burst, perSecond);
+    this.perSecond = Math.min(this.perSecond, perSecond);
+    this.tokens = Math.min(this.tokens, this.burst);
+  }
+
   refused(now: number): void {
     this.refill(now);
     this.tokens = Math.min(this.tokens, 0);
--- a/src/clients/state.ts
+++ b/src/clients/state.ts
@@ -28,6 +28,13 @@
   }
 }
 
+/**
+ * The request can't be carried out as it stands, and was not: it is malformed,
+ * larger than the service takes, or names a lease that has ended. Sent again
+ * unchanged, it would be refused again.
+ */
+export class Rejected extends NoAnswer {}
+
 export interface Transaction {
   ok: boolean;
   revision: number;
@@ -38,6 +45,8 @@
   address: { host: string; port: number };
   requestsPerS: number;
   changesPerS: number;
+  /** The changes a second that are left once a limit that is announced is in force. */
+  loweredChangesPerS: number;
   timeoutMs: number;
   clock: Clock;
 }
@@ -178,6 +187,7 @@
     try {
       const answer = this.check(
         await client.request(method, target, body, this.options.timeoutMs, signal),
+        changes,
       );
       this.troubleSince = null;
       this.silentSince = null;
@@ -211,16 +221,22 @@
     }
   }
 
-  private check(answer: Answer): Answer {
+  private check(answer: Answer, changes = 0): Answer {
     if (answer.status === 429) {
-      this.requests.refused(this.options.clock.now());
+      const now = this.options.clock.now();
+      this.requests.refused(now);
+      if (changes > 0) {
+        // Which of the two limits it was is not said; the announced one may be in force from now on.
+        this.changes.refused(now);
+        this.changes.lower(this.options.loweredChangesPerS, now);
+      }
       throw new Refused(1000);
     }
     if (answer.status === 503) throw new Refused(1000);
     if (![200, 400, 404, 409].includes(answer.status))
       throw new NoAnswer(`state service answered ${answer.status}`);
     if (answer.status === 400)
-      throw new NoAnswer(`state service answered 400: ${JSON.stringify(answer.body)}`);
+      throw new Rejected(`state service answered 400: ${JSON.stringify(answer.body)}`);
     return answer;
   }
 }
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -18,6 +18,13 @@
   times: v.nullish(amount),
 });
 
+/** Limits of the state service that come into force at some moment, without notice. */
+const NextLimits = v.object({
+  write_rps: v.nullish(positive),
+  value_kb: v.nullish(positive),
+  txn_ops: v.nullish(whole),
+});
+
 const Schema = v.object({
   node: name,
   zone: name,
@@ -33,7 +40,13 @@
     ),
     objectives: v.nullish(v.array(Objective), []),
     workers: v.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
-    state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: whole }),
+    state: v.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: whole,
+      next: v.nullish(NextLimits),
+    }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     quota: v.object({ cpu: positive, memory_mb: positive, max_sockets: whole }),
     skew_ms: amount,
--- a/src/config/timing.ts
+++ b/src/config/timing.ts
@@ -34,6 +34,8 @@
   /** A timer that is later than this shows that the processor is behind. */
   lateMs: number;
   flushMs: number;
+  /** What a node has read of a job that others need counts for this long, as far as it was live. */
+  upstreamFreshMs: number;
   rentMs: number;
   silentMs: number;
   workerLeaseMs: number;
@@ -79,6 +81,8 @@
     lateMs: reportMs / 20,
     // A fifth of the changes a second may go to progress, and a reader should see an end well within a report.
     flushMs: Math.max(reportMs / 30, 5000 / state.write_rps),
+    // Somebody may be told that a job waits for as long after a job upstream of it was cancelled: well within cancel_s.
+    upstreamFreshMs: cancelMs * 0.2,
     rentMs: reportMs / 3,
     silentMs: reportMs * 3,
     workerLeaseMs,
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,4 +1,7 @@
+import type { BitmapLayout } from './bitmap-layout.js';
 import { Job } from './job.js';
+import { type JobEnd, JobGraph } from './job-graph.js';
+import { upstreamKey } from './keys.js';
 import { type Binding, bindingKey, type Drain, Machine } from './machine.js';
 import {
   EPSILON,
@@ -60,11 +63,20 @@
   gpus: number;
 }
 
+/** What a job needs, as its record tells. */
+export interface UpstreamList {
+  ids: readonly string[];
+  /** All of them stand in the record and this many pages, which have to be read. */
+  pages: number;
+}
+
 /** Attempts rise across leaders: the term is the high part. */
 const ATTEMPTS_PER_TERM = 2 ** 28;
 /** Keeps an answer's one line well below the protocol's 64 KiB. */
 const ORDERS_PER_ANSWER = 250;
 const TOMBSTONES = 2000;
+/** A page of the roster, unless the settings say otherwise. */
+const DEFAULT_PAGE_BYTES = 4096;
 /** How near its latest start makes work pressing, in lengths of its tasks: in that time most of all room comes free. */
 const LOOK_AHEAD = 1.5;
 /** The longest task of an array, and the owner's estimate being off, in estimates. */
@@ -89,6 +101,10 @@
  */
 export class Cluster {
   readonly jobs = new Map<string, Job>();
+  /** Which jobs wait for which others. */
+  readonly graph = new JobGraph(this.jobs, {
+    longestS: (job) => this.estimateS(job.spec) * LONGEST,
+  });
   readonly machines = new Map<string, Machine>();
   readonly teamUse = new Map<string, Use>();
   readonly types = new Map<string, MachineType>();
@@ -135,11 +151,11 @@
     readonly timing: CoreTiming,
     readonly policy: CorePolicy,
     readonly aims: Aims,
-    readonly tasksPerChunk: number,
+    readonly bitmaps: BitmapLayout,
     readonly note: Note,
-    machinesPerPage = 32,
+    rosterPageBytes = DEFAULT_PAGE_BYTES,
   ) {
-    this.roster = new Roster(term, machinesPerPage);
+    this.roster = new Roster(term, rosterPageBytes);
   }
 
   setTypes(types: MachineType[]): void {
@@ -153,23 +169,46 @@
 
   // Jobs
 
-  addJob(spec: JobSpec, version: number, acceptedAt: number, inherited: boolean): Job | null {
+  addJob(
+    spec: JobSpec,
+    version: number,
+    acceptedAt: number,
+    inherited: boolean,
+    upstream: UpstreamList = { ids: [], pages: 0 },
+  ): Job | null {
     if (this.jobs.has(spec.id) || this.announced.has(spec.id)) return null;
     const job = new Job(spec, version, acceptedAt, inherited);
     this.jobs.set(spec.id, job);
+    for (let page = 0; page < upstream.pages; page++)
+      job.otherKeys.push(upstreamKey(spec.id, page));
+    if (upstream.pages > 0) this.graph.postpone(job);
+    else this.graph.link(job, upstream.ids);
     const size = this.sizes.get(spec.jobClass) ?? spec.tasks;
     this.sizes.set(spec.jobClass, size + (spec.tasks - size) * SIZE_RATE);
     this.stirred = true;
     return job;
   }
 
-  /** The job has been cancelled or its end is durable: nothing of it may start, what runs is stopped. */
-  endJob(id: string): void {
+  /** The pages of what the job needs have been read. */
+  linkUnread(job: Job, upstream: readonly string[]): void {
+    if (job.over) return;
+    this.graph.linkUnread(job, upstream);
+    this.stirred = true;
+  }
+
+  /**
+   * The job has been cancelled or its end is durable: nothing of it may start,
+   * what runs is stopped. Null: it is not known how it ended.
+   */
+  endJob(id: string, end: JobEnd | null): void {
+    this.graph.ended(id, end);
+    this.stirred = true;
     const job = this.jobs.get(id);
     if (!job) return;
     job.over = true;
     this.jobs.delete(id);
-    for (const chunk of job.chunks.keys()) this.cleanup.add(chunkKey(id, chunk));
+    for (const chunk of job.chunks.keys()) this.cleanup.add(this.bitmaps.key(id, chunk));
+    for (const key of job.otherKeys) this.cleanup.add(key);
     for (const b of [...job.bound.values()]) {
       if (neverSent(b)) this.release(b, 0);
       else this.stop(b, 0);
@@ -183,7 +222,7 @@
   announceEnd(id: string, revision: number): void {
     if (revision <= this.newsUpTo) return;
     this.announced.set(id, revision);
-    this.endJob(id);
+    this.endJob(id, { state: 'cancelled', at: null });
   }
 
   /** The news of jobs has been applied up to this revision. */
@@ -192,8 +231,9 @@
     for (const [id, at] of this.announced) if (at <= revision) this.announced.delete(id);
   }
 
+  /** How long the job could have run: what counts for all aims but deadlines. */
   ageMs(job: Job, now: number): number {
-    return now + this.wallOffset - job.acceptedAt;
+    return now + this.wallOffset - job.eligibleAt;
   }
 
   /** The shortest wait that the class's aims allow; null when none of them is about waiting. */
@@ -211,22 +251,34 @@
   pressure(job: Job, now: number): number {
     const { spec, ready } = job;
     const aims = this.aims.classes.get(spec.jobClass);
-    if (!aims) return 0;
+    if (!aims && !job.goal) return 0;
     const age = this.ageMs(job, now) / 1000;
     const estimate = this.estimateS(spec);
-    const near = (latestStart: number) =>
-      latestStart >= age ? Math.exp((age - latestStart) / (estimate * LOOK_AHEAD)) : 0;
     const longest = estimate * LONGEST;
+    const near = (leftS: number) => (leftS >= 0 ? Math.exp(-leftS / (estimate * LOOK_AHEAD)) : 0);
     let whole = 0;
-    for (const s of aims.finishes) whole += near(s - longest);
-    if (spec.deadlineS !== null)
-      for (const times of aims.deadlines) whole += near(spec.deadlineS * times - longest);
+    for (const s of aims?.finishes ?? []) whole += near(s - longest - age);
+    for (const leftS of this.deadlinesLeftS(job, now)) whole += near(leftS - longest);
     let tasks = 0;
-    for (const s of aims.waits) tasks += near(s);
+    for (const s of aims?.waits ?? []) tasks += near(s - age);
     const usual = this.sizes.get(spec.jobClass) ?? spec.tasks;
     return (whole + (tasks * ready) / usual) / Math.max(EPSILON, ready * spec.cpus * estimate);
   }
 
+  /**
+   * Seconds until the job has to be done for each aim on deadlines of the job
+   * that it serves, its own or the last of its pipeline. Deadlines count from
+   * that job's submission, however long it waits for others.
+   */
+  private deadlinesLeftS(job: Job, now: number): number[] {
+    if (!job.goal) return [];
+    const { job: last, restS } = job.goal;
+    const deadlineS = last.spec.deadlineS ?? Number.POSITIVE_INFINITY;
+    const age = (now + this.wallOffset - last.acceptedAt) / 1000;
+    const aims = this.aims.classes.get(last.spec.jobClass);
+    return (aims?.deadlines ?? []).map((times) => deadlineS * times - restS - age);
+  }
+
   estimateS(spec: JobSpec): number {
     return Math.max(0.5, spec.estimateS * (this.ratios.get(spec.jobClass) ?? 1));
   }
@@ -639,7 +691,7 @@
     if (other && other !== b) this.stop(other, 0);
     if (!first || job.over) return;
     b.settled = false;
-    const chunk = Math.floor(b.index / this.tasksPerChunk);
+    const chunk = this.bitmaps.chunkOf(b.index);
     const waiting = job.dirty.get(chunk);
     if (waiting) waiting.push(b);
     else job.dirty.set(chunk, [b]);
@@ -827,7 +879,3 @@
 function neverSent(b: Binding): boolean {
   return b.state === 'assigned' && b.sentSeq === null && b.direct === null;
 }
-
-export function chunkKey(job: string, chunk: number): string {
-  return `bits/${job}/${String(chunk).padStart(4, '0')}`;
-}
--- a/src/core/flush.ts
+++ b/src/core/flush.ts
@@ -1,6 +1,8 @@
 import type { Change, Condition } from '../protocol/store.js';
-import { type Cluster, chunkKey } from './cluster.js';
+import type { Cluster } from './cluster.js';
 import type { Job } from './job.js';
+import type { JobEnd } from './job-graph.js';
+import { liveKey, overKey, rosterKey } from './keys.js';
 import type { Binding, Machine } from './machine.js';
 import type { PageWrite, RosterEntry } from './roster.js';
 
@@ -20,12 +22,10 @@
 export interface FlushLimits {
   /** Changes that progress and cleaning may cost now; ends and the roster always go. */
   spare: number;
+  /** Time of day, for the records of ends. */
+  wallNow: number;
 }
 
-export const liveKey = (id: string) => `live/${id}`;
-export const overKey = (id: string) => `over/${id}`;
-const rosterKey = (id: string) => `roster/${id}`;
-
 /** What stands to be written, the most pressing first. */
 export function flushUnits(cluster: Cluster, limits: FlushLimits): Unit[] {
   const units: Unit[] = [];
@@ -34,22 +34,18 @@
   cluster.rosterPuts.clear();
   for (const w of cluster.roster.add(entries)) units.push(pageUnit(cluster, w));
   let spare = limits.spare;
+  const needed: Unit[] = [];
+  const ends: Unit[] = [];
   const partial: Unit[] = [];
   for (const job of cluster.jobs.values()) {
+    if (job.upstreamCancelled) {
+      ends.push(cancelledUnit(cluster, job));
+      continue;
+    }
     if (job.complete) {
-      const { id, tasks } = job.spec;
-      units.push({
-        conditions: [{ key: liveKey(id), version: job.version }],
-        changes: [
-          { op: 'put', key: overKey(id), value: { state: 'done', tasks } },
-          { op: 'delete', key: liveKey(id) },
-        ],
-        size: 400 + 2 * id.length,
-        applied: () => cluster.endJob(id),
-        // Its live key is gone, so it has an end already; ends are never rewritten.
-        conflict: () => cluster.endJob(id),
-        retry: () => {},
-      });
+      // Those that others wait for go first.
+      const list = cluster.graph.isNeeded(job.spec.id) ? needed : ends;
+      list.push(doneUnit(cluster, job, limits.wallNow));
       continue;
     }
     for (const [chunk, waiting] of job.dirty) {
@@ -60,7 +56,7 @@
       partial.push(chunkUnit(cluster, job, chunk, waiting, version ?? 0));
     }
   }
-  units.push(...partial);
+  units.push(...needed, ...ends, ...partial);
   for (const w of cluster.roster.clean(spare)) {
     spare--;
     units.push(pageUnit(cluster, w));
@@ -73,6 +69,52 @@
   return units;
 }
 
+function doneUnit(cluster: Cluster, job: Job, at: number): Unit {
+  const end: JobEnd = { state: 'done', at };
+  // Refused: its live key is gone, so it has an end already, which may be a cancellation.
+  return endUnit(job, end, {
+    applied: () => cluster.endJob(job.spec.id, end),
+    conflict: () => cluster.endJob(job.spec.id, null),
+  });
+}
+
+/**
+ * A job that needed a cancelled one is cancelled with it. It has never been
+ * ready, so whoever has ended it meanwhile has cancelled it too.
+ */
+function cancelledUnit(cluster: Cluster, job: Job): Unit {
+  const end: JobEnd = { state: 'cancelled', at: null };
+  const ended = () => cluster.endJob(job.spec.id, end);
+  return endUnit(job, end, { applied: ended, conflict: ended });
+}
+
+/** Moves a job to the ended ones in one transaction; an end is never rewritten. */
+function endUnit(job: Job, end: JobEnd, result: Pick<Unit, 'applied' | 'conflict'>): Unit {
+  const { id, tasks } = job.spec;
+  return {
+    conditions: [{ key: liveKey(id), version: job.version }],
+    changes: [
+      { op: 'put', key: overKey(id), value: overRecord(end, tasks) },
+      { op: 'delete', key: liveKey(id) },
+    ],
+    size: 400 + 2 * id.length,
+    ...result,
+    retry: () => {},
+  };
+}
+
+/** An ended job as its key holds it. Earlier versions read no more than state and tasks. */
+export interface OverRecord {
+  state: JobEnd['state'];
+  tasks: number;
+  /** Time of day of the end. */
+  at?: number;
+}
+
+export function overRecord(end: JobEnd, tasks: number): OverRecord {
+  return { state: end.state, tasks, ...(end.at === null ? {} : { at: end.at }) };
+}
+
 /**
  * A write of a bitmap, over the version that is known of it: without that a
  * late copy of an older write would take finished tasks back that their
@@ -86,8 +128,9 @@
   version: number,
 ): Unit {
   const { id } = job.spec;
-  const key = chunkKey(id, chunk);
-  const value = Buffer.from(job.chunkBits(chunk, cluster.tasksPerChunk)).toString('base64');
+  const key = cluster.bitmaps.key(id, chunk);
+  const bits = job.chunkBits(chunk, cluster.bitmaps.tasksPerChunk);
+  const value = Buffer.from(bits).toString('base64');
   job.dirty.delete(chunk);
   // A first write that gets no answer may still leave a key behind.
   job.chunks.set(chunk, version);
--- a/src/core/job.ts
+++ b/src/core/job.ts
@@ -1,3 +1,4 @@
+import type { Goal } from './job-graph.js';
 import type { Binding } from './machine.js';
 import type { JobSpec } from './model.js';
 
@@ -18,6 +19,8 @@
   readonly dirty = new Map<number, Binding[]>();
   /** Versions of the chunks that may exist in the state service; null: a write had no answer. */
   readonly chunks = new Map<number, number | null>();
+  /** Further keys of it in the state service, which are only read and go when it ends. */
+  readonly otherKeys: string[] = [];
   ready: number;
   done = 0;
   succeeded = false;
@@ -37,6 +40,18 @@
    * pass, and stop, what can still be in time.
    */
   guaranteed: boolean | null = null;
+  /** Jobs that have to be done before a task of this one starts. */
+  readonly waitsFor = new Set<string>();
+  /** Some of the ids that it needs stand in records that have not been read. */
+  upstreamUnread = false;
+  /** A job that it needs, directly or through others, was cancelled: so will this one be. */
+  upstreamCancelled = false;
+  /** Time of day from which its waits are counted: its acceptance, or the end of the last job that it needed. */
+  eligibleAt: number;
+  /** Index into RANKS: the highest of its own and of all jobs that need it. */
+  rank: number;
+  /** The deadline that leaves it the least time, its own or one downstream. */
+  goal: Goal | null = null;
   private readonly status: Uint8Array;
   private cursor = 0;
   private readonly returned: number[] = [];
@@ -53,6 +68,26 @@
   ) {
     this.status = new Uint8Array(spec.tasks);
     this.ready = spec.tasks;
+    this.eligibleAt = acceptedAt;
+    this.rank = spec.rank;
+    this.resetPriority();
+  }
+
+  /** Rank and deadline as its own user set them. */
+  resetPriority(): void {
+    this.rank = this.spec.rank;
+    this.goal = this.spec.deadlineS === null ? null : { job: this, restS: 0 };
+  }
+
+  /** Not all of what it needs is done: nothing of it may start, and it counts for nothing. */
+  get isWaiting(): boolean {
+    return this.upstreamCancelled || this.upstreamUnread || this.waitsFor.size > 0;
+  }
+
+  /** A job that it needs is durably done. */
+  upstreamDone(id: string, at: number | null): void {
+    this.waitsFor.delete(id);
+    if (at !== null) this.eligibleAt = Math.max(this.eligibleAt, at);
   }
 
   get complete(): boolean {
@@ -140,11 +175,9 @@
     return bits;
   }
 
-  /** Takes over a chunk that an earlier leader wrote. */
-  loadChunk(chunk: number, tasksPerChunk: number, bits: Uint8Array, version: number): void {
-    this.chunks.set(chunk, version);
-    const start = chunk * tasksPerChunk;
-    for (let i = 0; i < bits.length * 8 && start + i < this.spec.tasks; i++)
-      if (((bits[i >> 3] as number) >> (i & 7)) & 1) this.finish(start + i);
+  /** Takes over bits that an earlier leader wrote, from this task on. */
+  loadBits(firstTask: number, bits: Uint8Array): void {
+    for (let i = 0; i < bits.length * 8 && firstTask + i < this.spec.tasks; i++)
+      if (((bits[i >> 3] as number) >> (i & 7)) & 1) this.finish(firstTask + i);
   }
 }
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -19,6 +19,8 @@
 /** Ready tasks of like image and request, in the order of the pool. */
 export interface Batch {
   spec: JobSpec;
+  /** The rank of its jobs, which may be that of a job that needs them. */
+  rank: number;
   guaranteed: boolean;
   /** What waiting costs its jobs, in steps of a factor of two. */
   press: number;
@@ -29,8 +31,8 @@
 }
 
 /**
- * Ready: accepted, not over, not held back. Jobs that wait for others would
- * be kept out here. A task of an inherited job that shows on no confirmed
+ * Ready: accepted, not over, not held back, and every job upstream durably
+ * done. A task of an inherited job that shows on no confirmed
  * machine may run on an unconfirmed one, so it waits for the last of those
  * that its job allows.
  */
@@ -41,17 +43,19 @@
 /** The same but for what an unconfirmed machine may hold: it will need room all the same. */
 export function wantsRoom(job: Job, now: number): boolean {
   if (job.delayed > 0) job.wake(now);
-  return job.ready > 0 && !job.over && job.heldUntil <= now;
+  return job.ready > 0 && !job.over && !job.isWaiting && job.heldUntil <= now;
 }
 
 /**
  * Marks new jobs that fit their team's guarantee together with the team's
  * earlier unfinished ones. What an earlier leader saw of an inherited job is
  * not known: past the aim on guaranteed work it counts as not having fitted.
+ * A job that waits for others holds no part of it until it may run.
  */
 function markGuaranteed(cluster: Cluster, byArrival: Job[], now: number): void {
   const sums = new Map<string, Use>();
   for (const job of byArrival) {
+    if (job.isWaiting) continue;
     const { team, cpus, gpus, tasks } = job.spec;
     const sum = sums.get(team) ?? { cpus: 0, gpus: 0 };
     sum.cpus += cpus * tasks;
@@ -70,7 +74,7 @@
 
 function likeKey(job: Job, press: number): string {
   const s = job.spec;
-  return `${press}|${s.rank}|${job.guaranteed}|${s.team}|${s.image}|${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types}|${s.zone}|${s.spot}|${s.oneZone || s.spread ? s.id : ''}`;
+  return `${press}|${job.rank}|${job.guaranteed}|${s.team}|${s.image}|${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types}|${s.zone}|${s.spot}|${s.oneZone || s.spread ? s.id : ''}`;
 }
 
 /**
@@ -108,8 +112,7 @@
   }
   // The sort is stable: beyond this, the order of the jobs decides.
   const rest = [...batches.values()].sort(
-    (a, b) =>
-      a.spec.rank - b.spec.rank || Number(b.guaranteed) - Number(a.guaranteed) || b.press - a.press,
+    (a, b) => a.rank - b.rank || Number(b.guaranteed) - Number(a.guaranteed) || b.press - a.press,
   );
   return [...aged, ...rest];
 }
@@ -117,6 +120,7 @@
 function batchOf(job: Job, press: number, aged: boolean): Batch {
   return {
     spec: job.spec,
+    rank: job.rank,
     guaranteed: job.guaranteed === true,
     press,
     aged,
@@ -434,7 +438,7 @@
 ): boolean {
   const { spec } = b.job;
   if (b.spared) return false;
-  if (spec.rank > batch.spec.rank) return lower;
+  if (b.job.rank > batch.rank) return lower;
   if (!same || spec.team === batch.spec.team || b.job.guaranteed) return false;
   const team = cluster.teams.get(spec.team);
   const use = cluster.teamUse.get(spec.team);
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -229,6 +229,8 @@
     };
     for (const job of cluster.jobs.values()) {
       if (wantsRoom(job, now)) add(job.spec, job.ready, this.holdS(job.spec), true);
+      // What it waits for is running: a machine rented now is up by the time that it is ready.
+      else if (cluster.graph.isNext(job)) add(job.spec, job.ready, this.holdS(job.spec), false);
       if (job.bound.size === 0) continue;
       let boundS = 0;
       for (const b of job.bound.values()) boundS += cluster.remainingS(b, now);
--- a/src/core/roster.ts
+++ b/src/core/roster.ts
@@ -9,6 +9,8 @@
 
 interface Page {
   key: string;
+  /** What its members take in its value. */
+  bytes: number;
   /** 0: not written yet. Null: a write had no answer, so what stands there is not known. */
   version: number | null;
   members: Map<string, RosterEntry>;
@@ -38,7 +40,9 @@
  * hundreds that boot at once cost few changes. A page is only ever rewritten
  * over the version that is known of it; once a write had no answer, a late
  * copy of it could undo a newer one, so the page is left alone until all of
- * its machines are gone, and those in doubt go to another page.
+ * its machines are gone, and those in doubt go to another page. A page that
+ * was written under a higher limit on values is read as it stands; before it
+ * is written anew, what is too much for it goes to other pages.
  */
 export class Roster {
   private readonly pages = new Set<Page>();
@@ -47,19 +51,19 @@
 
   constructor(
     private readonly term: number,
-    private readonly perPage: number,
+    /** The most that the members of a page may take. */
+    private readonly pageBytes: number,
   ) {}
 
   /** A page as an earlier leader left it. */
   restore(key: string, version: number, entries: RosterEntry[]): void {
-    const page: Page = { key, version, members: new Map(), stale: false, writing: false };
+    const page = this.page(key, version);
     for (const e of entries) this.put(page, e);
-    this.pages.add(page);
   }
 
   gone(id: string): void {
     for (const page of this.pageOf.get(id) ?? []) {
-      page.members.delete(id);
+      this.remove(page, id);
       page.stale = true;
     }
     this.pageOf.delete(id);
@@ -69,7 +73,7 @@
   add(entries: RosterEntry[]): PageWrite[] {
     const gains = new Map<Page, RosterEntry[]>();
     for (const e of entries) {
-      const page = this.roomy();
+      const page = this.roomy(entryBytes(e));
       this.put(page, e);
       const gain = gains.get(page);
       if (gain) gain.push(e);
@@ -85,17 +89,46 @@
       if (out.length + 1 > most) break;
       if (!page.stale || page.writing) continue;
       if (page.version === null && page.members.size > 0) continue;
-      out.push(this.write(page, []));
+      if (page.bytes > this.pageBytes) out.push(...this.relieve(page));
+      else out.push(this.write(page, []));
     }
     return out;
   }
 
-  private roomy(): Page {
+  /**
+   * Moves what is too much for the page to others. Nobody is taken off it
+   * before the other page is known to hold him; a machine that was moved
+   * without an answer stands on both, which does no harm.
+   */
+  private relieve(page: Page): PageWrite[] {
+    const surplus: RosterEntry[] = [];
+    let bytes = page.bytes;
+    for (const [id, e] of page.members) {
+      if (bytes <= this.pageBytes) break;
+      if (this.pageOf.get(id)?.size === 1) surplus.push(e);
+      bytes -= entryBytes(e);
+    }
+    return this.add(surplus).map((write) => ({
+      ...write,
+      applied: (revision) => {
+        write.applied(revision);
+        for (const e of write.added) this.take(page, e.id);
+      },
+    }));
+  }
+
+  private roomy(bytes: number): Page {
     for (const page of this.pages)
-      if (!page.writing && page.version !== null && page.members.size < this.perPage) return page;
+      if (!page.writing && page.version !== null && page.bytes + bytes <= this.pageBytes)
+        return page;
+    return this.page(`${this.term}-${++this.count}`, 0);
+  }
+
+  private page(key: string, version: number): Page {
     const page: Page = {
-      key: `${this.term}-${++this.count}`,
-      version: 0,
+      key,
+      bytes: 0,
+      version,
       members: new Map(),
       stale: false,
       writing: false,
@@ -105,18 +138,27 @@
   }
 
   private put(page: Page, e: RosterEntry): void {
+    this.remove(page, e.id);
     page.members.set(e.id, e);
+    page.bytes += entryBytes(e);
     const on = this.pageOf.get(e.id);
     if (on) on.add(page);
     else this.pageOf.set(e.id, new Set([page]));
   }
 
   private take(page: Page, id: string): void {
-    page.members.delete(id);
+    this.remove(page, id);
     const on = this.pageOf.get(id);
     if (on?.delete(page) && on.size === 0) this.pageOf.delete(id);
   }
 
+  private remove(page: Page, id: string): void {
+    const e = page.members.get(id);
+    if (!e) return;
+    page.members.delete(id);
+    page.bytes -= entryBytes(e);
+  }
+
   private write(page: Page, added: RosterEntry[]): PageWrite {
     page.stale = false;
     page.writing = true;
@@ -145,3 +187,8 @@
     };
   }
 }
+
+/** What an entry takes in a page's value, with the comma behind it. */
+function entryBytes(e: RosterEntry): number {
+  return Buffer.byteLength(JSON.stringify(e)) + 1;
+}
--- a/src/duties/context.ts
+++ b/src/duties/context.ts
@@ -1,8 +1,9 @@
 import type { Logger } from 'pino';
 import type { StateService } from '../clients/state.js';
 import type { Platform } from '../config/settings.js';
+import type { StateLimits } from '../config/state-limits.js';
 import type { Timing } from '../config/timing.js';
-import type { JobSpec, MachineType, Team } from '../core/model.js';
+import type { MachineType, Team } from '../core/model.js';
 import type { Clock } from './clock.js';
 
 /** What every duty of one node shares. */
@@ -12,6 +13,7 @@
   incarnation: string;
   platform: Platform;
   timing: Timing;
+  limits: StateLimits;
   teams: Map<string, Team>;
   state: StateService;
   clock: Clock;
@@ -19,14 +21,3 @@
   /** Machine types as last read; null while they are not known. */
   types: MachineType[] | null;
 }
-
-/** A job as its live key holds it. */
-export interface LiveRecord {
-  spec: JobSpec;
-  at: number;
-}
-
-export interface OverRecord {
-  state: 'done' | 'cancelled';
-  tasks: number;
-}
--- a/src/duties/flusher.ts
+++ b/src/duties/flusher.ts
@@ -1,6 +1,6 @@
 import { Priority } from '../clients/budget.js';
-import { Refused } from '../clients/state.js';
-import { type Cluster, chunkKey } from '../core/cluster.js';
+import { Refused, Rejected } from '../clients/state.js';
+import type { Cluster } from '../core/cluster.js';
 import { flushUnits, type Unit, unknownChunks } from '../core/flush.js';
 import { Stopped } from './clock.js';
 import type { Context } from './context.js';
@@ -25,15 +25,15 @@
 
   async run(signal: AbortSignal): Promise<void> {
     const { ctx, cluster } = this;
-    const { state } = ctx.platform.settings;
+    const { loweredChangesPerS } = ctx.limits;
     const tickMs = ctx.timing.flushMs;
-    const sparePerTick = (state.write_rps * PROGRESS_SHARE * tickMs) / 1000;
+    const sparePerTick = (loweredChangesPerS * PROGRESS_SHARE * tickMs) / 1000;
     let spare = 0;
     while (!signal.aborted) {
       await ctx.clock.sleep(tickMs, signal);
-      spare = Math.min(spare + sparePerTick, state.write_rps * PROGRESS_BURST_S);
+      spare = Math.min(spare + sparePerTick, loweredChangesPerS * PROGRESS_BURST_S);
       await this.findChunks(signal);
-      const units = flushUnits(cluster, { spare });
+      const units = flushUnits(cluster, { spare, wallNow: ctx.clock.wall() });
       let from = 0;
       while (from < units.length) {
         const batch = this.nextBatch(units, from);
@@ -54,7 +54,7 @@
     let bytes = 0;
     for (const unit of units.slice(from)) {
       if (batch.length > 0) {
-        if (changes + unit.changes.length > this.ctx.platform.settings.state.txn_ops) break;
+        if (changes + unit.changes.length > this.ctx.limits.changes) break;
         if (bytes + unit.size > TRANSACTION_BYTES) break;
       }
       batch.push(unit);
@@ -68,7 +68,7 @@
   private async findChunks(signal: AbortSignal): Promise<void> {
     for (const { job, chunk } of unknownChunks(this.cluster)) {
       try {
-        const key = chunkKey(job.spec.id, chunk);
+        const key = this.cluster.bitmaps.key(job.spec.id, chunk);
         const entry = await this.ctx.state.get(key, Priority.ends, signal);
         job.chunks.set(chunk, entry?.version ?? 0);
       } catch (error) {
@@ -103,6 +103,7 @@
         else u.retry(false);
       return true;
     } catch (error) {
+      if (error instanceof Rejected) return this.rejected(batch, error);
       for (const u of batch) u.retry(!(error instanceof Refused));
       if (!term.signal.aborted)
         ctx.log.debug({ error: String((error as Error).message) }, 'flush not answered');
@@ -110,4 +111,21 @@
       return false;
     }
   }
+
+  /**
+   * The service will never take this transaction as it stands. Each part is
+   * written by itself, so that one that is at fault holds up none of the others;
+   * that one is left until the next leader, which begins with what is stored.
+   */
+  private async rejected(batch: Unit[], error: Error): Promise<boolean> {
+    if (batch.length > 1) {
+      for (const unit of batch) await this.write([unit]);
+      return true;
+    }
+    this.ctx.log.error(
+      { keys: batch[0]?.changes.map((c) => c.key), error: error.message },
+      'a write is not acceptable to the state service and was given up',
+    );
+    return true;
+  }
 }
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -1,31 +1,31 @@
 import { setMaxListeners } from 'node:events';
-import { Priority } from '../clients/budget.js';
 import type { CloudClient } from '../clients/cloud.js';
 import type { WorkerClient } from '../clients/worker.js';
 import type { Policy } from '../config/policy.js';
 import type { Platform } from '../config/settings.js';
+import { BitmapLayout } from '../core/bitmap-layout.js';
 import { type Aims, Cluster, type CorePolicy } from '../core/cluster.js';
+import { BITS_PREFIX, LIVE_PREFIX, ROSTER_PREFIX, UPSTREAM_PREFIX } from '../core/keys.js';
 import type { MachineReport, Order } from '../core/model.js';
 import { fill, round } from '../core/placement.js';
-import { type Load, Renting } from '../core/renting.js';
+import { Renting } from '../core/renting.js';
 import type { RosterEntry } from '../core/roster.js';
 import type { Entry, StoreEvent } from '../protocol/store.js';
 import { isObject } from '../protocol/wire.js';
 import { Stopped } from './clock.js';
 import { Commands } from './commands.js';
-import type { Context, LiveRecord } from './context.js';
+import type { Context } from './context.js';
 import { Fleet } from './fleet.js';
 import { Flusher } from './flusher.js';
-import { LEADER_KEY, type Term } from './leadership.js';
+import { JobStore, type LiveRecord } from './job-store.js';
+import type { Term } from './leadership.js';
+import { Loads } from './loads.js';
 import { retry } from './retry.js';
 import { readTypes } from './types.js';
+import { UpstreamResolver } from './upstream-resolver.js';
 
-const LIVE = 'live/';
-const BITS = 'bits/';
-const LOADS_KEY = 'loads';
-const ROSTER = 'roster/';
-/** About what a machine takes in a page of the roster. */
-const ROSTER_ENTRY_BYTES = 128;
+/** The part of a value that a page of the roster may fill. */
+const ROSTER_PAGE_SHARE = 0.9;
 
 export function corePolicy(p: Policy): CorePolicy {
   return {
@@ -48,12 +48,6 @@
   };
 }
 
-/** What work is expected, and the newest job counted in it. */
-interface KeptLoads {
-  loads: Load[];
-  upTo: number;
-}
-
 /** A page of the roster; one machine stood in a key of its own in earlier versions. */
 function rosterEntries(key: string, value: unknown): RosterEntry[] {
   const v = isObject(value) ? value : {};
@@ -118,10 +112,10 @@
   });
   private readonly commands: Commands;
   private readonly flusher: Flusher;
+  private readonly resolver: UpstreamResolver;
   private readonly fleet: Fleet;
+  private readonly loads: Loads;
   private lastRound = 0;
-  /** Jobs up to this version are counted in what is expected. */
-  private counted = 0;
 
   constructor(
     private readonly ctx: Context,
@@ -130,7 +124,7 @@
     private readonly policy: CorePolicy,
     workers: Pick<WorkerClient, 'command' | 'keep' | 'close'>,
   ) {
-    const { workers: agents, state, objectives } = ctx.platform.settings;
+    const { workers: agents, objectives } = ctx.platform.settings;
     this.cluster = new Cluster(
       term.term,
       ctx.teams,
@@ -142,12 +136,12 @@
       },
       policy,
       aimsOf(objectives ?? []),
-      // Half the value limit: base64 adds a third, and the frame a little.
-      Math.max(1, Math.floor(state.value_kb * 1024 * 0.5)) * 8,
+      BitmapLayout.forValues(ctx.limits.presentValueBytes, ctx.limits.valueBytes),
       (message, fields) => ctx.log.info({ term: term.term, ...fields }, message),
-      Math.max(1, Math.floor((state.value_kb * 1024 * 0.5) / ROSTER_ENTRY_BYTES)),
+      ctx.limits.valueBytes * ROSTER_PAGE_SHARE,
     );
     this.renting = new Renting(this.cluster);
+    this.loads = new Loads(ctx, term, this.renting);
     this.cluster.onGone = (m) => this.renting.freed(m, ctx.clock.now());
     setMaxListeners(0, term.signal);
     this.commands = new Commands(ctx, term, this.cluster, workers, {
@@ -155,6 +149,7 @@
       confirmations: socketsOf(ctx.platform, CONFIRM_SOCKETS),
     });
     this.flusher = new Flusher(ctx, term, this.cluster);
+    this.resolver = new UpstreamResolver(ctx, this.cluster, new JobStore(ctx));
     this.fleet = new Fleet(ctx, term, this.cluster, this.renting, cloud, (addresses) =>
       workers.keep(addresses),
     );
@@ -182,9 +177,10 @@
       this.duty('watch', (s) => this.watch(revision, s)),
       this.duty('rounds', (s) => this.rounds(s)),
       this.duty('flush', (s) => this.flusher.run(s)),
+      this.duty('upstream', (s) => this.resolver.run(s)),
       this.duty('list', (s) => this.fleet.listMachines(s)),
       this.duty('renting', (s) => this.fleet.rent(s)),
-      this.duty('loads', (s) => this.keepLoads(s)),
+      this.duty('loads', (s) => this.loads.run(s)),
       this.duty('types', (s) => this.fleet.refreshTypes(s)),
     ]);
   }
@@ -225,38 +221,36 @@
     if (!ctx.types)
       ctx.types = await retry(ctx, this.term.signal, (s) => readTypes(ctx, this.cloud, s));
     cluster.setTypes(ctx.types ?? []);
-    const roster = await this.readAll(ROSTER);
+    const roster = await this.readAll(ROSTER_PREFIX);
     for (const e of roster.entries) {
-      const key = e.key.slice(ROSTER.length);
+      const key = e.key.slice(ROSTER_PREFIX.length);
       const entries = rosterEntries(key, e.value);
       cluster.roster.restore(key, e.version, entries);
       for (const m of entries)
         cluster.inheritMachine(m.id, m.type, m.zone, m.spot, m.address, ctx.clock.now());
     }
     const askedAt = ctx.clock.now();
-    const live = await this.readAll(LIVE);
+    const live = await this.readAll(LIVE_PREFIX);
     // What was expected before goes on; jobs that arrived since it was written add to it.
-    const entry = await retry(ctx, this.term.signal, (s) =>
-      ctx.state.get(LOADS_KEY, Priority.lead, s),
-    );
-    const kept = entry && isObject(entry.value) ? (entry.value as unknown as KeptLoads) : null;
-    if (kept && Array.isArray(kept.loads)) {
-      this.renting.restore(kept.loads);
-      this.counted = kept.upTo;
-    }
+    await this.loads.read();
     for (const e of byArrival(live.entries)) this.addLive(e.key, e.value, e.version);
-    const bits = await this.readAll(BITS);
+    const bits = await this.readAll(BITS_PREFIX);
     for (const e of bits.entries) {
-      const [, id = '', chunk = ''] = e.key.split('/');
-      const job = cluster.jobs.get(id);
-      if (job && typeof e.value === 'string')
-        job.loadChunk(
-          Number(chunk),
-          cluster.tasksPerChunk,
-          Buffer.from(e.value, 'base64'),
-          e.version,
-        );
-      else cluster.cleanup.add(e.key);
+      const key = cluster.bitmaps.parse(e.key);
+      const job = key && cluster.jobs.get(key.job);
+      if (!job || typeof e.value !== 'string') {
+        cluster.cleanup.add(e.key);
+        continue;
+      }
+      job.loadBits(key.firstTask, Buffer.from(e.value, 'base64'));
+      if (key.chunk === null) job.otherKeys.push(e.key);
+      else job.chunks.set(key.chunk, e.version);
+    }
+    const pages = await this.readAll(UPSTREAM_PREFIX);
+    for (const e of pages.entries) {
+      const [id = ''] = e.key.slice(UPSTREAM_PREFIX.length).split('/');
+      // A page is written together with its job: one that is newer than the list of jobs has one.
+      if (!cluster.jobs.has(id) && e.version <= live.revision) cluster.cleanup.add(e.key);
     }
     return { revision: live.revision, askedAt };
   }
@@ -268,10 +262,9 @@
       return;
     }
     const inherited = version <= this.term.version;
-    const job = this.cluster.addJob(record.spec, version, record.at, inherited);
-    if (!job || version <= this.counted) return;
-    this.counted = version;
-    this.renting.arrived(record.spec);
+    const upstream = { ids: record.upstream ?? [], pages: record.upstreamPages ?? 0 };
+    const job = this.cluster.addJob(record.spec, version, record.at, inherited, upstream);
+    if (job) this.loads.arrived(record.spec, version);
   }
 
   private async watch(revision: number, signal: AbortSignal): Promise<void> {
@@ -281,7 +274,7 @@
       let askedAt = ctx.clock.now();
       const from = after;
       const got = await retry(ctx, this.term.signal, (s) =>
-        ctx.state.watch(LIVE, from, ctx.timing.newsMs, s),
+        ctx.state.watch(LIVE_PREFIX, from, ctx.timing.newsMs, s),
       );
       if (got) {
         for (const e of got.events) this.apply(e);
@@ -289,9 +282,10 @@
       } else {
         // Too old a revision, which by itself is no news: what is no longer listed has ended.
         askedAt = ctx.clock.now();
-        const live = await this.readAll(LIVE);
-        const known = new Set(live.entries.map((e) => e.key.slice(LIVE.length)));
-        for (const id of [...this.cluster.jobs.keys()]) if (!known.has(id)) this.cluster.endJob(id);
+        const live = await this.readAll(LIVE_PREFIX);
+        const known = new Set(live.entries.map((e) => e.key.slice(LIVE_PREFIX.length)));
+        for (const id of [...this.cluster.jobs.keys()])
+          if (!known.has(id)) this.cluster.endJob(id, null);
         for (const e of byArrival(live.entries)) this.addLive(e.key, e.value, e.version);
         after = live.revision;
       }
@@ -304,7 +298,7 @@
 
   private apply(e: StoreEvent): void {
     if (e.op === 'put') this.addLive(e.key, e.value, e.version);
-    else this.cluster.endJob(e.key.slice(LIVE.length));
+    else this.cluster.endJob(e.key.slice(LIVE_PREFIX.length), null);
     // What the job still runs is stopped without waiting for reports.
     this.commands.sendPendingSoon();
   }
@@ -397,24 +391,4 @@
       pauseMs = Math.max(pauseMs, (ctx.clock.now() - now) * ROUND_REST);
     }
   }
-
-  /** Keeps what work is expected for the next leader. */
-  private async keepLoads(signal: AbortSignal): Promise<void> {
-    const { ctx } = this;
-    while (!signal.aborted) {
-      await ctx.clock.sleep(ctx.timing.loadsMs, signal);
-      const value: KeptLoads = { loads: this.renting.snapshot(), upTo: this.counted };
-      try {
-        await ctx.state.transact(
-          [{ key: LEADER_KEY, version: this.term.version }],
-          [{ op: 'put', key: LOADS_KEY, value }],
-          Priority.progress,
-          signal,
-        );
-      } catch (error) {
-        if (signal.aborted) return;
-        ctx.log.debug({ error: String((error as Error).message) }, 'loads not kept');
-      }
-    }
-  }
 }
--- a/src/duties/mail.ts
+++ b/src/duties/mail.ts
@@ -107,6 +107,8 @@
     const { ctx } = this;
     const value = await this.onAsk(ask.text);
     const answer: Answer = { kind: 'answer', n: ask.n, incarnation: ask.incarnation, value };
+    if (Buffer.byteLength(JSON.stringify(answer)) > ctx.limits.valueBytes)
+      throw new Error('too large for mail');
     // The asker's box, at our own place in it.
     const rest = slot.slice(slot.indexOf('/') + 1);
     await this.put(`${MAIL}${ask.from}/${ctx.node}/${rest}`, answer);
--- a/src/duties/node.ts
+++ b/src/duties/node.ts
@@ -4,6 +4,7 @@
 import { WorkerClient } from '../clients/worker.js';
 import type { Policy } from '../config/policy.js';
 import { type Platform, splitAddress, teamsOf } from '../config/settings.js';
+import { stateLimitsOf } from '../config/state-limits.js';
 import { timingOf } from '../config/timing.js';
 import type { Message } from '../http/parser.js';
 import { type Reply, serve } from '../http/server.js';
@@ -21,6 +22,9 @@
 /** Sockets kept free for the state service, the cloud, peers and workers' addresses, as a part of the limit. */
 const OWN_SOCKETS = 0.2;
 
+/** The part of the state service's changes a second that one controller may take: mostly the leader writes. */
+const CHANGES_SHARE = 0.6;
+
 /** One controller: its sockets and its long-lived duties, until the signal ends them. */
 export class Node {
   private readonly ctx: Context;
@@ -41,12 +45,14 @@
     incarnation: string,
   ) {
     const timing = timingOf(platform);
+    const limits = stateLimitsOf(platform);
     const { state, cloud, size } = platform.settings;
     // The controllers share the limits; the leader's own work is small beside them.
     this.state = new StateClient({
       address: splitAddress(platform.external.state),
       requestsPerS: (state.rps * 0.9) / Math.max(1, size),
-      changesPerS: state.write_rps * 0.6,
+      changesPerS: limits.changesPerS * CHANGES_SHARE,
+      loweredChangesPerS: limits.loweredChangesPerS * CHANGES_SHARE,
       timeoutMs: timing.stateTimeoutMs,
       clock,
     });
@@ -61,6 +67,7 @@
       incarnation,
       platform,
       timing,
+      limits,
       teams: teamsOf(platform),
       state: this.state,
       clock,
--- a/src/duties/peers.ts
+++ b/src/duties/peers.ts
@@ -1,10 +1,14 @@
 import { splitAddress } from '../config/settings.js';
 import type { Reply } from '../http/server.js';
 import { PeerNet, type Status } from '../peer/net.js';
+import { fitOrders } from '../protocol/wire.js';
 import { pause } from './clock.js';
 import type { Context } from './context.js';
 import { Mail } from './mail.js';
 
+/** The part of a value that a report or its answer may take in a mail; the frame and its quotes need the rest. */
+const MAIL_SHARE = 0.7;
+
 /** Live jobs whose counts a status carries, at the most. */
 export const COUNTS_PER_STATUS = 256;
 
@@ -57,7 +61,11 @@
       onAsk: (op, payload) => this.serve(op, payload),
       onError: (error) => log.debug({ error: String((error as Error).message) }, 'peer'),
     });
-    this.mail = new Mail(ctx, (text) => duties.takeReport(Buffer.from(text)));
+    // An answer leaves out the orders that a value has no room for: to its worker they are lost like a late answer's.
+    this.mail = new Mail(ctx, async (text) => {
+      const reply = await duties.takeReport(Buffer.from(text));
+      return { ...reply, body: fitOrders(reply.body, ctx.limits.valueBytes * MAIL_SHARE) };
+    });
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -132,11 +140,10 @@
    * node that does not answer is dead, most likely, and left alone for a while.
    */
   async mailReport(node: string, machine: string, body: Buffer): Promise<Reply> {
-    const { clock, platform, timing } = this.ctx;
+    const { clock, limits, timing } = this.ctx;
     if (clock.now() < (this.mailRests.get(node) ?? 0)) throw new Error('mail rests');
     // The frame of a question and the quotes in its text take room too.
-    if (body.length > platform.settings.state.value_kb * 1024 * 0.7)
-      throw new Error('too large for mail');
+    if (body.length > limits.valueBytes * MAIL_SHARE) throw new Error('too large for mail');
     try {
       return this.reply(await this.mail.ask(node, machine, body.toString(), timing.stateTimeoutMs));
     } catch (error) {
--- a/src/duties/reports.ts
+++ b/src/duties/reports.ts
@@ -1,5 +1,5 @@
 import { Priority } from '../clients/budget.js';
-import { liveKey } from '../core/flush.js';
+import { liveKey } from '../core/keys.js';
 import type { MachineReport, Order } from '../core/model.js';
 import type { Reply } from '../http/server.js';
 import { notLeaderAnswer, parseReport, reportAnswer, tokenOf } from '../protocol/wire.js';
--- a/src/duties/types.ts
+++ b/src/duties/types.ts
@@ -33,6 +33,11 @@
     JSON.stringify(list?.map(({ price: _p, spotPrice: _s, ...rest }) => rest));
   const entry = await ctx.state.get(TYPES_KEY, Priority.progress, signal);
   const kept = entry && Array.isArray(entry.value) ? (entry.value as MachineType[]) : null;
+  // Too many for a value: nodes that start then have only the cloud to ask.
+  if (Buffer.byteLength(JSON.stringify(types)) > ctx.limits.valueBytes) {
+    ctx.types = types;
+    return;
+  }
   if (shape(kept) !== shape(types))
     await ctx.state.transact(
       [{ key: TYPES_KEY, version: entry?.version ?? 0 }],
--- /dev/null
+++ b/src/duties/upstream-resolver.ts
@@ -0,0 +1,62 @@
+import { Priority } from '../clients/budget.js';
+import type { Cluster } from '../core/cluster.js';
+import type { Job } from '../core/job.js';
+import type { Context } from './context.js';
+import type { JobStore } from './job-store.js';
+
+/** Jobs read at the same time. */
+const READS_AT_ONCE = 8;
+/** Rounds between two looks, while reads succeed. */
+const LOOK_ROUNDS = 2;
+
+/**
+ * Reads for a leader what it has not seen itself: how jobs ended that others
+ * wait for (before its term, or ended by another node), and ids of upstream
+ * jobs that stand in pages of their own. Nothing that waits for them starts
+ * before.
+ */
+export class UpstreamResolver {
+  constructor(
+    private readonly ctx: Context,
+    private readonly cluster: Cluster,
+    private readonly store: JobStore,
+  ) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, timing } = this.ctx;
+    while (!signal.aborted) {
+      const failed = await this.look(signal);
+      await clock.sleep(failed ? timing.renewMs : timing.roundMs * LOOK_ROUNDS, signal);
+    }
+  }
+
+  /** True when something could not be read. */
+  private async look(signal: AbortSignal): Promise<boolean> {
+    const { graph } = this.cluster;
+    const unread = [...graph.unread].slice(0, READS_AT_ONCE);
+    const unresolved = [...graph.unresolved].slice(0, READS_AT_ONCE);
+    const results = await Promise.allSettled([
+      ...unread.map((job) => this.readPages(job, signal)),
+      ...unresolved.map((id) => this.readEnd(id, signal)),
+    ]);
+    const failure = results.find((r) => r.status === 'rejected');
+    if (failure && !signal.aborted)
+      this.ctx.log.debug({ error: String(failure.reason) }, 'upstream job not read');
+    return failure !== undefined;
+  }
+
+  private async readPages(job: Job, signal: AbortSignal): Promise<void> {
+    const { id } = job.spec;
+    const found = await this.store.find(id, Priority.ends, signal);
+    // It has ended meanwhile; the watch is about to tell.
+    if (!found?.live) return;
+    const ids = await this.store.upstreamOf(id, found.record, Priority.ends, signal);
+    if (ids) this.cluster.linkUnread(job, ids);
+  }
+
+  private async readEnd(id: string, signal: AbortSignal): Promise<void> {
+    const end = await this.store.findEnd(id, Priority.ends, signal);
+    if (!end) throw new Error(`${id} is neither live nor over`);
+    this.cluster.endJob(id, { state: end.record.state, at: end.record.at ?? null });
+  }
+}
--- a/src/duties/users.ts
+++ b/src/duties/users.ts
@@ -1,6 +1,5 @@
 import { Priority } from '../clients/budget.js';
-import { liveKey, overKey } from '../core/flush.js';
-import { neverRuns } from '../core/model.js';
+import { type JobSpec, neverRuns } from '../core/model.js';
 import type { Reply } from '../http/server.js';
 import {
   acceptedAnswer,
@@ -8,10 +7,20 @@
   jobAnswer,
   Malformed,
   parseSubmission,
+  parseUpstream,
   type Standing,
   submissionId,
 } from '../protocol/wire.js';
-import type { Context, LiveRecord, OverRecord } from './context.js';
+import type { Context } from './context.js';
+import {
+  type EndedJob,
+  JobStore,
+  type LiveJob,
+  type LiveRecord,
+  needsOthers,
+  TooLarge,
+} from './job-store.js';
+import { Upstream } from './upstream.js';
 
 /** Counts of a live job's tasks, for display only. */
 interface Counts {
@@ -23,9 +32,23 @@
   standing: Standing;
   tasks: number;
   version: number;
-  live: boolean;
+  /** Null: it has ended. */
+  live: LiveJob | null;
+}
+
+interface Submission {
+  spec: JobSpec;
+  upstream: string[];
+}
+
+function ended(job: EndedJob): Known {
+  const { state, tasks } = job.record;
+  return { standing: state, tasks, version: job.version, live: null };
 }
 
+/** Jobs that a refusal names at the most. */
+const MOST_NAMED = 5;
+
 /** Seconds after which a refused user may come back. */
 const RETRY_S = 1;
 
@@ -39,30 +62,58 @@
 
 /** What users ask, answered from the state service by any node, leader or not. */
 export class Users {
+  private readonly store: JobStore;
+  private readonly upstream: Upstream;
+
   constructor(
     private readonly ctx: Context,
     private readonly counts: (id: string) => Counts | null,
     /** Has whoever leads stop the job before its user is told. */
     private readonly announce: (id: string, revision: number) => Promise<void>,
-  ) {}
+  ) {
+    this.store = new JobStore(ctx);
+    this.upstream = new Upstream(ctx, this.store);
+  }
 
-  /** The live key is looked up first: an end moves it, so a job can't slip between the two reads. */
   private async lookup(id: string, priority: Priority = Priority.users): Promise<Known | null> {
-    const live = await this.ctx.state.get(liveKey(id), priority);
-    if (live) {
-      const record = live.value as LiveRecord;
-      const running = (this.counts(id)?.running ?? 0) > 0;
-      return {
-        standing: running ? 'running' : 'queued',
-        tasks: record.spec.tasks,
-        version: live.version,
-        live: true,
-      };
+    const job = await this.store.find(id, priority);
+    if (!job) return null;
+    if (!job.live) return ended(job);
+    const counts = this.counts(id);
+    const running = (counts?.running ?? 0) > 0;
+    const begun = running || (counts?.done ?? 0) > 0;
+    if (!begun && needsOthers(job.record)) {
+      const end = await this.endWithUpstream(id, job, priority);
+      if (end) return end;
+    }
+    return {
+      standing: running ? 'running' : 'queued',
+      tasks: job.record.spec.tasks,
+      version: job.version,
+      live: job,
+    };
+  }
+
+  /**
+   * A job that needs a cancelled one is cancelled with it, which the leader
+   * may not have done yet. It is called so only once that is durable: what one
+   * node says no other may contradict.
+   */
+  private async endWithUpstream(
+    id: string,
+    job: LiveJob,
+    priority: Priority,
+  ): Promise<Known | null> {
+    if (!(await this.upstream.cancelledAbove(id, job.record, priority))) return null;
+    const moved = await this.store.cancel(job, priority);
+    if (moved.ok) {
+      this.ctx.log.info({ job: id }, 'cancelled with a job that it needs');
+      const { tasks } = job.record.spec;
+      return { standing: 'cancelled', tasks, version: moved.revision, live: null };
     }
-    const over = await this.ctx.state.get(overKey(id), priority);
-    if (!over) return null;
-    const record = over.value as OverRecord;
-    return { standing: record.state, tasks: record.tasks, version: over.version, live: false };
+    const end = await this.store.findEnd(id, priority);
+    if (!end) throw new Error(`${id} is neither live nor over`);
+    return ended(end);
   }
 
   async submit(body: Buffer): Promise<Reply> {
@@ -74,45 +125,64 @@
     } catch (error) {
       return refuse(400, error instanceof Malformed ? error.message : 'not JSON');
     }
-    let refusal: Reply | null = null;
-    let record: LiveRecord | null = null;
+    try {
+      const submission = this.judge(json);
+      if ('refusal' in submission) return (await this.knownReply(id)) ?? submission.refusal;
+      const { spec, upstream } = submission;
+      return upstream.length === 0
+        ? await this.accept(spec, [])
+        : await this.acceptDownstream(spec, upstream);
+    } catch (error) {
+      return this.failed(error);
+    }
+  }
+
+  /** What can be said of a submission by itself. */
+  private judge(json: unknown): Submission | { refusal: Reply } {
     try {
       const spec = parseSubmission(json);
-      record = { spec, at: this.ctx.clock.wall() };
-      if (!this.ctx.types) refusal = unavailable('machine types are not known yet');
-      else {
-        const never = neverRuns(spec, this.ctx.teams, this.ctx.types);
-        if (never) refusal = refuse(422, never);
-      }
+      const upstream = parseUpstream(json);
+      if (!this.ctx.types) return { refusal: unavailable('machine types are not known yet') };
+      const never = neverRuns(spec, this.ctx.teams, this.ctx.types);
+      if (never) return { refusal: refuse(422, never) };
+      return { spec, upstream };
     } catch (error) {
       if (!(error instanceof Malformed)) throw error;
-      refusal = refuse(400, error.message);
+      return { refusal: refuse(400, error.message) };
     }
+  }
+
+  /** A known job is known whatever a repetition of it looks like. */
+  private async knownReply(id: string): Promise<Reply | null> {
+    const known = await this.lookup(id);
+    return known && { status: 200, body: acceptedAnswer(id, known.standing) };
+  }
+
+  /** Accepts a job that names others, as far as these were accepted. */
+  private async acceptDownstream(spec: JobSpec, named: string[]): Promise<Reply> {
+    const known = await this.knownReply(spec.id);
+    if (known) return known;
+    if (named.includes(spec.id)) return refuse(422, 'the job names itself');
+    const upstream = await this.upstream.standing(named, Priority.users);
+    if (upstream.missing.length > 0)
+      return refuse(422, `never accepted: ${upstream.missing.slice(0, MOST_NAMED).join(', ')}`);
+    if (!upstream.cancelled) return this.accept(spec, upstream.pending);
+    const created = await this.store.createCancelled(spec, Priority.users);
+    if (!created.ok) return (await this.knownReply(spec.id)) ?? unavailable('try again');
+    return { status: 201, body: acceptedAnswer(spec.id, 'cancelled') };
+  }
+
+  private async accept(spec: JobSpec, upstream: string[]): Promise<Reply> {
+    const record: LiveRecord = { spec, at: this.ctx.clock.wall() };
     try {
-      if (refusal || !record) {
-        // A known job is known whatever a repetition of it looks like.
-        const known = await this.lookup(id);
-        if (known) return { status: 200, body: acceptedAnswer(id, known.standing) };
-        return refusal as Reply;
-      }
-      const created = await this.ctx.state.transact(
-        [
-          { key: liveKey(id), version: 0 },
-          { key: overKey(id), version: 0 },
-        ],
-        [{ op: 'put', key: liveKey(id), value: record }],
-        Priority.users,
-      );
-      if (created.ok) {
-        this.ctx.log.debug({ job: id, team: record.spec.team }, 'accepted');
-        return { status: 201, body: acceptedAnswer(id, 'queued') };
-      }
-      const known = await this.lookup(id);
-      if (known) return { status: 200, body: acceptedAnswer(id, known.standing) };
-      return unavailable('try again');
+      const created = await this.store.create(record, upstream, Priority.users);
+      if (!created.ok) return (await this.knownReply(spec.id)) ?? unavailable('try again');
     } catch (error) {
-      return this.failed(error);
+      if (!(error instanceof TooLarge)) throw error;
+      return (await this.knownReply(spec.id)) ?? refuse(422, error.message);
     }
+    this.ctx.log.debug({ job: spec.id, team: spec.team }, 'accepted');
+    return { status: 201, body: acceptedAnswer(spec.id, 'queued') };
   }
 
   async query(id: string): Promise<Reply> {
@@ -142,18 +212,7 @@
           if (known.standing === 'cancelled') await this.announce(id, known.version);
           return { status: 200, body: acceptedAnswer(id, known.standing) };
         }
-        const over: OverRecord = { state: 'cancelled', tasks: known.tasks };
-        const moved = await this.ctx.state.transact(
-          [
-            { key: liveKey(id), version: known.version },
-            { key: overKey(id), version: 0 },
-          ],
-          [
-            { op: 'put', key: overKey(id), value: over },
-            { op: 'delete', key: liveKey(id) },
-          ],
-          Priority.users,
-        );
+        const moved = await this.store.cancel(known.live, Priority.users);
         if (moved.ok) {
           this.ctx.log.info({ job: id }, 'cancelled');
           await this.announce(id, moved.revision);
--- a/src/protocol/wire.ts
+++ b/src/protocol/wire.ts
@@ -126,6 +126,15 @@
   };
 }
 
+/** Jobs that have to be done before this one starts, each once. */
+export function parseUpstream(body: unknown): string[] {
+  if (!isObject(body) || absent(body.awaits)) return [];
+  const ids = body.awaits;
+  if (!Array.isArray(ids) || ids.some((id) => typeof id !== 'string' || !JOB_ID.test(id)))
+    throw new Malformed('awaits must be a list of job ids');
+  return [...new Set(ids as string[])];
+}
+
 export type Standing = 'queued' | 'running' | 'done' | 'cancelled';
 
 export function jobAnswer(id: string, standing: Standing, done: number, running: number): Json {
@@ -201,6 +210,19 @@
   return { baton: token, orders: orders.map(encodeOrder) };
 }
 
+/** An answer to a report without the last of its orders, as far as it takes to fit the bytes. */
+export function fitOrders(answer: unknown, maxBytes: number): unknown {
+  if (!isObject(answer) || !Array.isArray(answer.orders)) return answer;
+  const orders: unknown[] = [];
+  let left = maxBytes - Buffer.byteLength(JSON.stringify({ ...answer, orders }));
+  for (const order of answer.orders) {
+    left -= Buffer.byteLength(JSON.stringify(order)) + 1;
+    if (left < 0) break;
+    orders.push(order);
+  }
+  return { ...answer, orders };
+}
+
 export function notLeaderAnswer(leader: string | null): Json {
   return leader === null ? {} : { steward: leader };
 }
--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -98,7 +98,7 @@
         const id = this.one([...this.live.keys()]);
         if (id && this.pick(6) === 0) {
           this.live.delete(id);
-          this.c.endJob(id);
+          this.c.endJob(id, { state: 'cancelled', at: null });
         }
         break;
       }
@@ -206,7 +206,7 @@
   private flush(): void {
     for (const { job, chunk } of unknownChunks(this.c))
       job.chunks.set(chunk, this.bits.get(job.spec.id) ?? 0);
-    for (const unit of flushUnits(this.c, { spare: 9 })) {
+    for (const unit of flushUnits(this.c, { spare: 9, wallNow: 0 })) {
       const fate = this.pick(8);
       if (fate < 2) {
         if (fate === 0) this.lateWrites.push({ term: this.c, unit });
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -247,6 +247,7 @@
       address: { host: '127.0.0.1', port },
       requestsPerS: 10,
       changesPerS: 10,
+      loweredChangesPerS: 10,
       timeoutMs: 60_000,
       clock: new FakeClock(),
     });
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -158,10 +158,10 @@
   beat(c, w, 0);
   beat(c, w, 100);
   // The first has ended: the second alone would fit, but stops nobody and passes nobody.
-  c.endJob('req-000001');
+  c.endJob('req-000001', { state: 'cancelled', at: null });
   round(c, 32, 300);
   assert.equal(late?.guaranteed, false);
-  c.endJob('req-000002');
+  c.endJob('req-000002', { state: 'cancelled', at: null });
   const fresh = c.addJob(spec({ id: 'req-000004', tasks: 1, team: 'vip' }), 4, 0, false);
   round(c, 32, 400);
   assert.equal(fresh?.guaranteed, true);
@@ -203,7 +203,7 @@
   beat(d, v, 100);
   beat(d, v, 200);
   v.exit([...v.tasks.keys()][0] as string, 'done');
-  d.endJob('req-000001');
+  d.endJob('req-000001', { state: 'cancelled', at: null });
   d.report(v.report(), true, 300);
   const n = d.machines.get('n-1');
   assert.ok(n);
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -172,12 +172,12 @@
   const [first, second] = [...w.tasks.keys()] as [string, string];
   w.exit(first, 'done');
   assert.deepEqual(beat(c, w, 20), []);
-  const [bits] = flushUnits(c, { spare: 9 });
+  const [bits] = flushUnits(c, { spare: 9, wallNow: 0 });
   assert.ok(bits);
   // Refused: it stands to be written again.
   bits.retry(false);
   assert.deepEqual(beat(c, w, 30), []);
-  const [again] = flushUnits(c, { spare: 9 });
+  const [again] = flushUnits(c, { spare: 9, wallNow: 0 });
   again?.applied(9);
   assert.deepEqual(
     beat(c, w, 40).map((o) => o.op),
@@ -185,7 +185,7 @@
   );
   w.exit(second, 'done');
   beat(c, w, 50);
-  const [end] = flushUnits(c, { spare: 0 });
+  const [end] = flushUnits(c, { spare: 0, wallNow: 0 });
   assert.deepEqual(
     end?.changes.map((x) => [x.op, x.key]),
     [
@@ -211,7 +211,7 @@
   const m = c.machines.get('n-1');
   assert.ok(m);
   const inFlight = c.orders(m);
-  c.endJob('req-000001');
+  c.endJob('req-000001', { state: 'cancelled', at: null });
   w.execute(1, inFlight);
   assert.equal(w.running().length, 2);
   beat(c, w, 20);
@@ -229,7 +229,7 @@
   const m = c.machines.get('n-1');
   assert.ok(m);
   const { orders } = c.urgent(m);
-  c.endJob('req-000001');
+  c.endJob('req-000001', { state: 'cancelled', at: null });
   let now = 0;
   // It counts against the limit until then, whatever the reports list.
   for (; m.fence === 0; now += 1000) beat(c, w, now);
@@ -282,11 +282,11 @@
   const [first, second] = [...w.tasks.keys()] as [string, string];
   w.exit(first, 'done');
   beat(c, w, 20);
-  const [one] = flushUnits(c, { spare: 9 });
-  assert.deepEqual(one?.conditions[1], { key: 'bits/req-000001/0000', version: 0 });
+  const [one] = flushUnits(c, { spare: 9, wallNow: 0 });
+  assert.deepEqual(one?.conditions[1], { key: 'bits/req-000001/0000/0', version: 0 });
   // No answer: whether it stands is read back before the next write.
   one?.retry(true);
-  assert.deepEqual(flushUnits(c, { spare: 9 }), []);
+  assert.deepEqual(flushUnits(c, { spare: 9, wallNow: 0 }), []);
   assert.deepEqual(unknownChunks(c), [{ job, chunk: 0 }]);
   assert.deepEqual(
     beat(c, w, 30).filter((o) => o.op === 'forget'),
@@ -295,9 +295,9 @@
   job.chunks.set(0, 7);
   w.exit(second, 'done');
   beat(c, w, 40);
-  const [two] = flushUnits(c, { spare: 9 });
+  const [two] = flushUnits(c, { spare: 9, wallNow: 0 });
   // Over that version alone: the late one, over none, is refused from then on.
-  assert.deepEqual(two?.conditions[1], { key: 'bits/req-000001/0000', version: 7 });
+  assert.deepEqual(two?.conditions[1], { key: 'bits/req-000001/0000/0', version: 7 });
   two?.applied(9);
   assert.equal(job.chunks.get(0), 9);
   assert.equal(beat(c, w, 50).filter((o) => o.op === 'forget').length, 2);
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -1,3 +1,4 @@
+import { BitmapLayout } from '../../src/core/bitmap-layout.js';
 import { Cluster } from '../../src/core/cluster.js';
 import type {
   ExitCause,
@@ -52,7 +53,7 @@
       machineStarts: 32,
     },
     { classes: new Map(), guaranteeS: null },
-    64,
+    new BitmapLayout(64, 64),
     () => {},
   );
   c.setTypes(options.types ?? [TYPE]);
--- a/test/support/context.ts
+++ b/test/support/context.ts
@@ -1,5 +1,6 @@
 import { pino } from 'pino';
 import { parsePlatform, teamsOf } from '../../src/config/settings.js';
+import { stateLimitsOf } from '../../src/config/state-limits.js';
 import { timingOf } from '../../src/config/timing.js';
 import type { Context } from '../../src/duties/context.js';
 import type { FakeClock } from './clock.js';
@@ -35,6 +36,7 @@
     incarnation: `${node}-1`,
     platform,
     timing: timingOf(platform),
+    limits: stateLimitsOf(platform),
     teams: teamsOf(platform),
     state,
     clock,
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -253,7 +253,8 @@
 
 test('the roster holds many machines to a page and survives writes that are lost or late', () => {
   const entry = (n: number) => ({ id: `n-${n}`, type: 'm', zone: 'a', spot: true, address: '' });
-  const r = new Roster(4, 3);
+  // Room for three of them to a page.
+  const r = new Roster(4, 3 * (JSON.stringify(entry(1)).length + 1));
   const writes = r.add([1, 2, 3, 4].map(entry));
   assert.deepEqual(
     writes.map((w) => [w.key, w.version, w.entries.length]),
