Stop lower work only where that makes room for a whole task, and keep that room for it

Cause: large standard tasks (8 CPUs) stopped small low ones (2 CPUs) on every machine, also where what is left beside them is too little; the small ones, next in line and small enough, took the room again and were stopped again, several times a second for half a minute. Two tests; the first fails without the change (21 stops instead of 4).

--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -27,6 +27,15 @@
   settled: boolean;
 }
 
+/** Room for which other work was stopped, until the work that it was stopped for has it. */
+export interface Reservation {
+  rank: number;
+  guaranteed: boolean;
+  /** Tasks that are yet to come. */
+  tasks: number;
+  until: number;
+}
+
 export type Drain = 'notice' | 'sick' | 'deaf' | 'idle' | 'no boot' | 'silent' | 'missing';
 
 export function bindingKey(job: string, index: number, attempt: number): string {
@@ -74,6 +83,7 @@
   surplus = false;
   /** Its room is kept for a task of this job, which no gap is large enough for. */
   heldFor: string | null = null;
+  reservation: Reservation | null = null;
   noticeUntil: number | null = null;
   drain: Drain | null = null;
   idleSince: number;
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -7,6 +7,9 @@
 const RANK_PATIENCE = 0.2;
 const GUARANTEE_PATIENCE = 0.6;
 
+/** Report intervals within which stopped tasks are gone and what they were stopped for is placed. */
+const RESERVED_REPORTS = 3;
+
 /** Every accepted job, the largest ones too, begins within this, whatever fresher work could still meet (protocol). */
 const BEGIN_WITHIN_MS = 240_000;
 /** From this part of it on a job that has not begun goes first with one task. */
@@ -156,6 +159,35 @@
   );
 }
 
+/**
+ * Whether the machine's room is free for the batch. Tasks are stopped one
+ * after the other, and what they free piece by piece is enough for the small
+ * ones that were stopped long before it is enough for a large one: they would
+ * take it again and be stopped again, for as long as the large one waits.
+ */
+function mayUse(m: Machine, batch: Batch): boolean {
+  const { reservation } = m;
+  if (!reservation || batch.aged || batch.rank < reservation.rank) return true;
+  return batch.rank === reservation.rank && (batch.guaranteed || !reservation.guaranteed);
+}
+
+/** Keeps room that is being made on the machine for one more task of the batch. */
+function reserve(m: Machine, batch: Batch, until: number): void {
+  const { rank, guaranteed } = batch;
+  const old = m.reservation;
+  if (old && old.rank === rank && old.guaranteed === guaranteed) {
+    old.tasks++;
+    old.until = until;
+  } else m.reservation = { rank, guaranteed, tasks: 1, until };
+}
+
+/** A task was placed on the machine: of the same rank, it is what room was reserved for. */
+function useReservation(m: Machine, batch: Batch): void {
+  const { reservation } = m;
+  if (!reservation || batch.rank !== reservation.rank || !mayUse(m, batch)) return;
+  if (--reservation.tasks <= 0) m.reservation = null;
+}
+
 /** How many more of the job's tasks may be put in the zone beside those on machines now. */
 function zoneRoom(job: Job, zone: string): number {
   const { oneZone, spread, tasks } = job.spec;
@@ -197,7 +229,10 @@
   const openMachines = [...cluster.machines.values()].filter((m) => open(cluster, m, now));
   // Most machines are full under load, and none of them needs to be scored for each batch.
   const roomy = openMachines.filter((m) => m.hasRoom);
-  for (const m of openMachines) m.heldFor = null;
+  for (const m of openMachines) {
+    m.heldFor = null;
+    if (m.reservation && m.reservation.until <= now) m.reservation = null;
+  }
   let dearest = 0;
   for (const t of cluster.types.values()) dearest = Math.max(dearest, t.price, t.spotPrice);
   let unplaced = 0;
@@ -207,7 +242,7 @@
   const promised = new Map<Machine, Room>();
   for (const batch of batches) {
     let left = batch.count;
-    const candidates = roomy.filter((m) => allowed(m, batch.spec));
+    const candidates = roomy.filter((m) => allowed(m, batch.spec) && mayUse(m, batch));
     while (left > 0 && started.length < limit) {
       const room = teamRoom(cluster, batch, doubt);
       if (room === 0) break;
@@ -260,6 +295,7 @@
     if (started.length >= limit || !m.hasRoom) break;
     if (!allowed(m, batch.spec) || m.room(batch.spec) === 0) continue;
     if (m.heldFor !== null && m.heldFor !== batch.jobs[0]?.spec.id) continue;
+    if (!mayUse(m, batch)) continue;
     if (batch.aged && batch.jobs[0]?.begun) continue;
     const most = batch.aged ? 1 : limit;
     const room = Math.min(teamRoom(cluster, batch, doubt), most, limit - started.length);
@@ -317,6 +353,7 @@
       if (index === null) break;
       const b = cluster.assign(job, index, m, now);
       b.spared = batch.aged;
+      useReservation(m, batch);
       started.push(b);
       n++;
       room--;
@@ -378,7 +415,7 @@
   const same = batch.guaranteed && age >= patienceMs(cluster, spec, true);
   if (!lower && !same) return;
   let need = left;
-  const offers: { m: Machine; free: Room; victims: { b: Binding; loss: number }[] }[] = [];
+  const offers: Offer[] = [];
   for (const m of machines) {
     const t = m.type;
     if (!t || !allowed(m, spec)) continue;
@@ -389,12 +426,12 @@
       gpus: t.gpus - m.gpus - taken.gpus,
       memoryGb: t.memoryGb - m.memoryGb - taken.memoryGb,
     };
-    const victims: { b: Binding; loss: number }[] = [];
+    const victims: Victim[] = [];
     for (const b of m.bindings.values()) {
       if (b.state === 'exited' || b.state === 'assigned') continue;
       if (b.stop) addRoom(free, b.job.spec, 1);
       else if (mayStop(cluster, batch, b, lower, same))
-        victims.push({ b, loss: lossS(b, now) * Math.max(b.job.spec.cpus, EPSILON) });
+        victims.push({ binding: b, loss: lossS(b, now) * Math.max(b.job.spec.cpus, EPSILON) });
     }
     while (need > 0 && covers(free, spec)) {
       need--;
@@ -403,30 +440,81 @@
     }
     if (victims.length === 0) continue;
     victims.sort((a, b) => a.loss - b.loss);
-    offers.push({ m, free, victims });
+    offers.push({ machine: m, free, victims });
   }
   offers.sort((a, b) => (a.victims[0]?.loss ?? 0) - (b.victims[0]?.loss ?? 0));
-  for (const { m, free, victims } of offers) {
-    for (const { b, loss } of victims) {
-      if (need <= 0) return;
-      const s = b.job.spec;
-      cluster.stop(b, s.checkpointS > 0 ? s.saveS : 0);
-      addRoom(free, s, 1);
-      cluster.note('preempted', {
-        job: s.id,
-        task: b.index,
-        machine: m.id,
-        for: batch.jobs[0]?.spec.id,
-        lostCpuSeconds: Math.round(loss),
-      });
-      const taken = promised.get(m);
-      while (need > 0 && covers(free, spec)) {
-        need--;
-        addRoom(free, spec, -1);
-        if (taken) addRoom(taken, spec, 1);
-      }
+  for (const offer of offers) {
+    if (need <= 0) return;
+    need -= makeRoom(cluster, batch, offer, need, promised, now);
+  }
+}
+
+/** What may be stopped on a machine, the least loss first, and the room that is there without it. */
+interface Offer {
+  machine: Machine;
+  free: Room;
+  victims: Victim[];
+}
+
+interface Victim {
+  binding: Binding;
+  /** CPU seconds of work that would be lost. */
+  loss: number;
+}
+
+/**
+ * Stops work on one machine for up to `need` tasks of the batch; returns for
+ * how many. Nothing is stopped unless a whole task gets room by it: other
+ * work would only take that room again and be stopped for nothing once more.
+ */
+function makeRoom(
+  cluster: Cluster,
+  batch: Batch,
+  offer: Offer,
+  need: number,
+  promised: Map<Machine, Room>,
+  now: number,
+): number {
+  const { spec } = batch;
+  const { machine, free } = offer;
+  let made = 0;
+  let chosen: Victim[] = [];
+  for (const victim of offer.victims) {
+    if (made >= need) break;
+    chosen.push(victim);
+    addRoom(free, victim.binding.job.spec, 1);
+    if (!covers(free, spec)) continue;
+    const saveMs = stopAll(cluster, batch, machine, chosen);
+    const until = now + cluster.timing.reportMs * RESERVED_REPORTS + saveMs;
+    chosen = [];
+    while (made < need && covers(free, spec)) {
+      made++;
+      addRoom(free, spec, -1);
+      const taken = promised.get(machine);
+      if (taken) addRoom(taken, spec, 1);
+      reserve(machine, batch, until);
     }
   }
+  return made;
+}
+
+/** Stops the tasks; returns how long the longest of them takes to save, in milliseconds. */
+function stopAll(cluster: Cluster, batch: Batch, machine: Machine, victims: Victim[]): number {
+  let longestSaveS = 0;
+  for (const { binding, loss } of victims) {
+    const { id, checkpointS, saveS } = binding.job.spec;
+    const graceS = checkpointS > 0 ? saveS : 0;
+    longestSaveS = Math.max(longestSaveS, graceS);
+    cluster.stop(binding, graceS);
+    cluster.note('preempted', {
+      job: id,
+      task: binding.index,
+      machine: machine.id,
+      for: batch.jobs[0]?.spec.id,
+      lostCpuSeconds: Math.round(loss),
+    });
+  }
+  return longestSaveS * 1000;
 }
 
 function mayStop(
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -128,6 +128,56 @@
   assert.deepEqual(names(round(c, 32, 12_400)), ['req-000003']);
 });
 
+test('room that is made for a large task is not taken again by the small ones that were stopped', () => {
+  const c = cluster();
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  c.addJob(spec({ id: 'req-000001', tasks: 40, cpus: 2, memoryGb: 4, rank: 3 }), 1, 0, false);
+  round(c, 32, 0);
+  beat(c, w, 0);
+  beat(c, w, 0);
+  c.addJob(spec({ id: 'req-000002', tasks: 1, cpus: 8, memoryGb: 8, rank: 2 }), 2, 0, false);
+  let stopped = 0;
+  for (let now = 9000; now < 20_000; now += 500) {
+    round(c, 32, now);
+    // What was told to stop exits one at a time, and each exit is reported by itself.
+    const m = c.machines.get('n-1');
+    assert.ok(m);
+    const stopping = [...m.bindings.values()].find((b) => b.stop && b.state === 'running');
+    if (stopping) {
+      stopped++;
+      w.exit(`${stopping.job.spec.id}/${stopping.index}/${stopping.attempt}`, 'stopped');
+    }
+    c.report(w.report(), true, now);
+    fill(c, m, 32, now);
+    w.execute(
+      c.term,
+      c.orders(m).filter((o) => o.op !== 'stop'),
+    );
+    c.report(w.report(), true, now);
+  }
+  assert.equal(stopped, 4);
+  assert.equal(w.running().filter((t) => t.startsWith('req-000002')).length, 1);
+  // With the large one placed, what is left over is anybody's again.
+  assert.equal(w.running().length, 5);
+});
+
+test('nothing is stopped where that makes no room for a whole task', () => {
+  const c = cluster();
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  // Work of a rank that may not be stopped leaves less than the large task takes.
+  c.addJob(spec({ id: 'req-000001', tasks: 1, cpus: 10, memoryGb: 4, rank: 1 }), 1, 0, false);
+  c.addJob(spec({ id: 'req-000002', tasks: 3, cpus: 2, memoryGb: 4, rank: 3 }), 2, 0, false);
+  round(c, 32, 0);
+  beat(c, w, 0);
+  beat(c, w, 0);
+  assert.equal(w.running().length, 4);
+  c.addJob(spec({ id: 'req-000003', tasks: 1, cpus: 8, memoryGb: 8, rank: 2 }), 3, 0, false);
+  for (let now = 9000; now < 20_000; now += 500) {
+    round(c, 32, now);
+    assert.ok(beat(c, w, now).every((o) => o.op !== 'stop'));
+  }
+});
+
 test('work of the same rank is stopped only for a guarantee, and only beyond the other’s own', () => {
   const teams = [team({ name: 'ops', cpus: 8 }), team({ name: 'vip', cpus: 8 })];
   const c = cluster({ teams });
