--- a/test/meetings-history.test.ts
+++ b/test/meetings-history.test.ts
@@ -6,6 +6,9 @@
 
 const SEEDS = 12;
 const TROUBLES = 26;
+/** Every other history begins with an upgrade: a controller at each of these troubles, then the limits fall. */
+const UPGRADES = [3, 6, 9];
+const LOWERED = 13;
 const RANGE = 2 ** 24;
 
 /** Troubles by draw, each with its end by draw: several are always under way. */
@@ -13,14 +16,21 @@
   readonly world: World;
   private readonly live: string[] = [];
 
-  constructor(readonly random: () => number) {
+  constructor(
+    readonly random: () => number,
+    private readonly upgrade: boolean,
+  ) {
     this.world = new World(random, 5, () => 2000 + random() * 40_000);
+    if (!upgrade) return;
+    this.world.upgraded.clear();
+    for (const c of [...this.world.controllers]) this.world.restart(c);
   }
 
   async play(): Promise<void> {
     const { world } = this;
     await world.run(8);
     for (let i = 0; i < TROUBLES; i++) {
+      if (this.upgrade) this.roll(i);
       await this.users();
       this.trouble(world.pick(14));
       await world.run(0.5 + world.random() * 5);
@@ -33,11 +43,33 @@
       assert.notEqual(told.standing, 'live', `${id} was accepted and is not over`);
   }
 
+  /** Replaces controllers one at a time; one that ends before its turn comes back as it was. */
+  private roll(trouble: number): void {
+    const { world } = this;
+    const turn = UPGRADES.indexOf(trouble);
+    const c = world.controllers[turn];
+    if (c) {
+      world.upgraded.add(c.name);
+      world.restart(c);
+    }
+    if (trouble === LOWERED) world.lowerLimits();
+  }
+
+  /** Jobs of any state that the next one needs: nothing new is asked before all controllers know of it. */
+  private upstream(): string[] {
+    const { world } = this;
+    if (world.upgraded.size < world.controllers.length || world.random() < 0.4) return [];
+    const accepted = this.live.filter((id) => world.told.has(id));
+    return accepted.slice(-8).filter(() => world.random() < 0.3);
+  }
+
   private async users(): Promise<void> {
     const { world } = this;
-    for (let i = world.pick(3); i > 0; i--) this.live.push(await world.submit());
+    for (let i = world.pick(3); i > 0; i--)
+      this.live.push(await world.submit({ awaits: this.upstream() }));
     const id = this.live[world.pick(Math.max(1, this.live.length))];
-    if (id && world.random() < 0.4) await world.cancel(id);
+    // Some are called off for jobs that need them, too.
+    if (id && world.random() < 0.3) await world.cancel(id);
     if (id) await world.poll(id);
   }
 
@@ -151,12 +183,14 @@
 test('over random histories of troubles that meet, the rules hold and all accepted work ends', async (t) => {
   let started = 0;
   let cancelled = 0;
+  let downstream = 0;
+  let orphans = 0;
   for (let seed = 1; seed <= SEEDS; seed++) {
     const rng = xoroshiro128plus(seed);
     const random = () => uniformInt(rng, 0, RANGE - 1) / RANGE;
     // The duties' own jitter, too, is drawn from the seed.
     const jitter = t.mock.method(Math, 'random', random);
-    const play = new Troubled(random);
+    const play = new Troubled(random, seed % 2 === 0);
     try {
       await play.play();
     } catch (error) {
@@ -167,8 +201,15 @@
       for (const m of play.world.machines) m.gone = true;
     }
     started += play.world.started;
-    for (const told of play.world.told.values()) if (told.standing === 'cancelled') cancelled++;
+    for (const [id, told] of play.world.told) {
+      if ((play.world.needs.get(id) ?? []).length > 0) downstream++;
+      if (told.standing !== 'cancelled') continue;
+      cancelled++;
+      if (!play.world.calledOff.has(id)) orphans++;
+    }
   }
   assert.ok(started > SEEDS * 30, `only ${started} starts`);
   assert.ok(cancelled > SEEDS, `only ${cancelled} jobs cancelled`);
+  assert.ok(downstream > SEEDS * 3, `only ${downstream} jobs that need others`);
+  assert.ok(orphans > SEEDS, `only ${orphans} jobs cancelled with what they need`);
 });
--- a/test/support/context.ts
+++ b/test/support/context.ts
@@ -18,7 +18,19 @@
   skew_ms: 5,
 };
 
-export function context(node: string, state: FakeState, clock: FakeClock): Context {
+/** Limits of the state service that may come into force: bytes and changes as the settings name them. */
+export interface NextLimits {
+  value_kb: number;
+  txn_ops: number;
+  write_rps: number;
+}
+
+export function context(
+  node: string,
+  state: FakeState,
+  clock: FakeClock,
+  next: NextLimits | null = null,
+): Context {
   const platform = parsePlatform(
     JSON.stringify({
       node,
@@ -27,7 +39,7 @@
       peer_listen: '127.0.0.1:1',
       peers: [],
       external: { cloud: '127.0.0.1:1', state: '127.0.0.1:1' },
-      settings: SETTINGS,
+      settings: { ...SETTINGS, state: { ...SETTINGS.state, next } },
     }),
     'test',
   );
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -1,4 +1,4 @@
-import { Refused, type StateService, type Transaction } from '../../src/clients/state.js';
+import { Refused, Rejected, type StateService, type Transaction } from '../../src/clients/state.js';
 import { NoAnswer } from '../../src/http/client.js';
 import type { Change, Condition, Entry, StoreEvent } from '../../src/protocol/store.js';
 import type { FakeClock } from './clock.js';
@@ -14,6 +14,10 @@
   private log: StoreEvent[] = [];
   private watchers: (() => void)[] = [];
 
+  /** What a transaction may hold; larger ones are refused and remembered. */
+  limits: { valueBytes: number; changes: number } | null = null;
+  readonly oversize: string[] = [];
+
   /** Nobody is served, and no lease ends. */
   private down = false;
 
@@ -54,6 +58,7 @@
 
   transact(conditions: Condition[], changes: Change[]): Transaction {
     this.expire();
+    this.checkSize(conditions, changes);
     for (const c of changes)
       if (c.op === 'put' && c.lease !== undefined && !this.leases.has(c.lease))
         throw new NoAnswer('400 no such lease');
@@ -65,6 +70,18 @@
     return { ok: true, revision: this.revision, failed: [] };
   }
 
+  private checkSize(conditions: Condition[], changes: Change[]): void {
+    if (!this.limits) return;
+    const { valueBytes, changes: most } = this.limits;
+    const large = changes.filter(
+      (c) => c.op === 'put' && Buffer.byteLength(JSON.stringify(c.value)) > valueBytes,
+    );
+    if (changes.length > most || conditions.length > most * 4) large.push(...changes);
+    if (large.length === 0) return;
+    this.oversize.push(...large.map((c) => c.key));
+    throw new Rejected(`400 too large: ${large.map((c) => c.key).join(', ')}`);
+  }
+
   private change(changes: Change[]): void {
     this.revision++;
     for (const c of changes) {
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -12,7 +12,7 @@
 import { tokenOf } from '../../src/protocol/wire.js';
 import { FakeClock } from './clock.js';
 import { ScriptedWorker, TYPE } from './cluster.js';
-import { context } from './context.js';
+import { context, type NextLimits } from './context.js';
 import { FakeState, FakeStore } from './state.js';
 
 const FENCES = tokenOf(1, 0);
@@ -82,7 +82,8 @@
     const { clock, store } = world;
     this.state = new FakeState(store);
     this.state.holdsBack = () => world.random() < world.lateShare;
-    this.ctx = { ...context(name, this.state, clock), incarnation: `${name}-${life}` };
+    const next = world.upgraded.has(name) ? NEXT : null;
+    this.ctx = { ...context(name, this.state, clock, next), incarnation: `${name}-${life}` };
     this.ctx.log = pino({ level: 'silent' });
     this.leadership = new Leadership(this.ctx, async (term) => {
       const leader = new Leader(
@@ -283,6 +284,9 @@
   }
 }
 
+/** Limits that the state service has from some moment on. */
+const NEXT: NextLimits = { value_kb: 2, txn_ops: 4, write_rps: 20 };
+
 interface Told {
   standing: 'live' | 'done' | 'cancelled';
   at: number;
@@ -304,6 +308,14 @@
   readonly told = new Map<string, Told>();
   readonly asked = new Set<string>();
   readonly completed = new Set<string>();
+  /** Controllers that know of the limits to come; the others write as the version before did. */
+  readonly upgraded = new Set(['c-0', 'c-1', 'c-2']);
+  /** What jobs need, also those whose submission had no answer. */
+  readonly needs = new Map<string, string[]>();
+  /** Jobs whose users have asked to cancel them, answered or not. */
+  readonly calledOff = new Set<string>();
+  /** Starts of jobs before all that they need was done. */
+  readonly earlyStarts: string[] = [];
   /** Starts of jobs whose cancellation had been confirmed. */
   lateStarts = 0;
   started = 0;
@@ -434,16 +446,28 @@
 
   starts(job: string): void {
     this.started++;
+    for (const id of this.needs.get(job) ?? [])
+      if (!this.isDurablyDone(id)) this.earlyStarts.push(`${job} before ${id}`);
     if (this.told.get(job)?.standing === 'cancelled') this.lateStarts++;
   }
 
+  private isDurablyDone(id: string): boolean {
+    const end = this.store.entries.get(`over/${id}`)?.value as { state: string } | undefined;
+    return end?.state === 'done';
+  }
+
+  /** From now on the state service takes no more than the upgraded controllers count on. */
+  lowerLimits(): void {
+    this.store.limits = { valueBytes: NEXT.value_kb * 1024, changes: NEXT.txn_ops };
+  }
+
   ended(job: string, index: number): void {
     this.completed.add(`${job}/${index}`);
   }
 
   // Users
 
-  async submit(fields: object = {}): Promise<string> {
+  async submit(fields: { awaits?: string[] } = {}): Promise<string> {
     const id = `req-${String(++this.jobs).padStart(6, '0')}`;
     const body = {
       id,
@@ -466,14 +490,17 @@
       ...fields,
     };
     this.asked.add(id);
+    this.needs.set(id, fields.awaits ?? []);
     const reply = await this.any()?.users.submit(Buffer.from(JSON.stringify(body)));
-    if (reply?.status === 200 || reply?.status === 201)
-      this.told.set(id, { standing: 'live', at: this.clock.now() });
+    if (reply?.status === 200 || reply?.status === 201) {
+      this.tell(id, (reply.body as { standing: string }).standing);
+    }
     return id;
   }
 
   /** True once the user has an answer that counts. */
   async cancel(id: string, through: Controller | undefined = this.any()): Promise<boolean> {
+    this.calledOff.add(id);
     const reply = await through?.users.cancel(id);
     if (reply?.status !== 200) return false;
     this.tell(id, (reply.body as { standing: string }).standing);
@@ -500,9 +527,30 @@
     if (now === 'done')
       for (let i = 0; i < this.tasks; i++)
         assert.ok(this.completed.has(`${id}/${i}`), `${id} is not done`);
+    if (now === 'cancelled')
+      assert.ok(
+        [id, ...this.above(id)].some((x) => this.calledOff.has(x)),
+        `${id} by nobody`,
+      );
+    if (now === 'live') this.checkOrphaned(id);
     if (before?.standing !== now) this.told.set(id, { standing: now, at: this.clock.now() });
   }
 
+  /** All that the job needs, directly or through others. */
+  private above(id: string): Set<string> {
+    const all = new Set(this.needs.get(id) ?? []);
+    for (const x of all) for (const y of this.needs.get(x) ?? []) all.add(y);
+    return all;
+  }
+
+  private checkOrphaned(id: string): void {
+    for (const x of this.above(id)) {
+      const told = this.told.get(x);
+      const since = told?.standing === 'cancelled' ? this.clock.now() - told.at : 0;
+      assert.ok(since <= this.cancelMs, `${id} is called live, and ${x} is cancelled`);
+    }
+  }
+
   // Time and rules
 
   async run(seconds: number): Promise<void> {
@@ -531,5 +579,7 @@
       }
     }
     assert.equal(new Set(running).size, running.length, 'a task runs on two machines');
+    assert.deepEqual(this.earlyStarts, [], 'a task starts too early');
+    assert.deepEqual(this.store.oversize, [], 'a write is larger than the limits');
   }
 }
