--- a/src/duties/loads.ts
+++ b/src/duties/loads.ts
@@ -56,7 +56,7 @@
     const first = await this.page(0);
     if (!isObject(first) || !Array.isArray(first.loads)) return;
     const { upTo, more = 0 } = first as unknown as FirstPage;
-    const loads = loadsOf(first);
+    const loads = [...loadsOf(first)];
     for (let page = 1; page <= more; page++) loads.push(...loadsOf(await this.page(page)));
     this.renting.restore(loads);
     this.counted = upTo;
--- /dev/null
+++ b/test/upgrade.test.ts
@@ -0,0 +1,387 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Refused, Rejected, StateClient } from '../src/clients/state.js';
+import { stateLimitsOf } from '../src/config/state-limits.js';
+import { BitmapLayout } from '../src/core/bitmap-layout.js';
+import { flushUnits } from '../src/core/flush.js';
+import { Job } from '../src/core/job.js';
+import { round } from '../src/core/placement.js';
+import { Renting } from '../src/core/renting.js';
+import { Roster, type RosterEntry } from '../src/core/roster.js';
+import { Flusher } from '../src/duties/flusher.js';
+import { Loads } from '../src/duties/loads.js';
+import { serve } from '../src/http/server.js';
+import { FrameReader, frame } from '../src/peer/frames.js';
+import { fitOrders, tokenOf } from '../src/protocol/wire.js';
+import { FakeClock, settle } from './support/clock.js';
+import { beat, cluster, joined, ScriptedWorker, spec } from './support/cluster.js';
+import { context } from './support/context.js';
+import { FakeState, FakeStore } from './support/state.js';
+
+const KIB = 1024;
+/** The limits of the test settings, which the version before sized its values by, and lower ones. */
+const NEXT = { value_kb: 2, txn_ops: 4, write_rps: 30 };
+const EARLIER_CHUNK = 32_768;
+
+/** Written by the version before: a live job, and the bits of its finished tasks. */
+const LIVE_JOB = {
+  spec: {
+    id: 'req-000412',
+    jobClass: 'work',
+    team: 'ops',
+    rank: 1,
+    tasks: 40_000,
+    cpus: 2,
+    gpus: 0,
+    memoryGb: 4,
+    image: 'img',
+    imageGb: 1,
+    types: ['m16'],
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    estimateS: 20,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: 300,
+  },
+  at: 1_800_000_000_000,
+};
+const DONE = [0, 1, 9, 8191, 8192, 20_000, 32_767, 32_768, 39_999];
+const EARLIER_BITS = [
+  {
+    key: 'bits/req-000412/0000',
+    length: 4096,
+    bytes: [
+      [0, 3],
+      [1, 2],
+      [1023, 128],
+      [1024, 1],
+      [2500, 1],
+      [4095, 128],
+    ],
+  },
+  {
+    key: 'bits/req-000412/0001',
+    length: 904,
+    bytes: [
+      [0, 1],
+      [903, 128],
+    ],
+  },
+] as const;
+
+function earlierBytes(stored: (typeof EARLIER_BITS)[number]): Uint8Array {
+  const bytes = new Uint8Array(stored.length);
+  for (const [at, byte] of stored.bytes) bytes[at] = byte;
+  return bytes;
+}
+
+/** How the version before reads and writes bitmaps: number times chunk, whatever follows the number. */
+class EarlierBitmaps {
+  readonly done = new Set<number>();
+
+  read(key: string, bytes: Uint8Array): void {
+    const [, , number = ''] = key.split('/');
+    const first = Number(number) * EARLIER_CHUNK;
+    for (let i = 0; i < bytes.length * 8; i++)
+      if (((bytes[i >> 3] as number) >> (i & 7)) & 1) this.done.add(first + i);
+  }
+
+  chunk(number: number, tasks: number): Uint8Array {
+    const first = number * EARLIER_CHUNK;
+    const bytes = new Uint8Array(Math.ceil(Math.min(EARLIER_CHUNK, tasks - first) / 8));
+    for (const i of this.done)
+      if (Math.floor(i / EARLIER_CHUNK) === number)
+        bytes[(i - first) >> 3] = (bytes[(i - first) >> 3] as number) | (1 << (i & 7));
+    return bytes;
+  }
+}
+
+function load(job: Job, layout: BitmapLayout, key: string, bytes: Uint8Array): void {
+  const parsed = layout.parse(key);
+  assert.ok(parsed, key);
+  job.loadBits(parsed.firstTask, bytes);
+}
+
+test('bitmaps of the version before are read, and go on in values that fit the lower limit', () => {
+  const layout = BitmapLayout.forValues(8 * KIB, NEXT.value_kb * KIB);
+  const job = new Job(LIVE_JOB.spec, 77, LIVE_JOB.at, true);
+  for (const stored of EARLIER_BITS) load(job, layout, stored.key, earlierBytes(stored));
+  assert.deepEqual(
+    [...Array(LIVE_JOB.spec.tasks).keys()].filter((i) => job.isDone(i)),
+    DONE,
+  );
+  assert.ok(EARLIER_BITS.every((stored) => layout.parse(stored.key)?.chunk === null));
+  const last = layout.chunkOf(39_999);
+  assert.equal(layout.key('req-000412', 0), 'bits/req-000412/0000/0');
+  assert.equal(layout.key('req-000412', last), 'bits/req-000412/0001/32768');
+  assert.deepEqual(layout.parse('bits/req-000412/0.25/8192'), {
+    job: 'req-000412',
+    firstTask: 8192,
+    chunk: 1,
+  });
+  const value = Buffer.from(job.chunkBits(0, layout.tasksPerChunk)).toString('base64');
+  assert.ok(JSON.stringify(value).length <= NEXT.value_kb * KIB);
+});
+
+test('no bit is lost while versions lead in turn, whatever each of them has touched', () => {
+  const tasks = 100_000;
+  for (const lowest of [0.7, 2, 3, 8]) {
+    const layout = BitmapLayout.forValues(8 * KIB, lowest * KIB);
+    const store = new Map<string, Uint8Array>();
+    const done = new Set<number>();
+    for (let turn = 0; turn < 24; turn++) {
+      const finished = Array.from({ length: 20 }, (_, i) => (turn * 7919 + i * 104_729) % tasks);
+      if (turn % 3 === 1) {
+        const earlier = new EarlierBitmaps();
+        for (const [key, bytes] of store) earlier.read(key, bytes);
+        assert.deepEqual(earlier.done, done);
+        for (const i of finished) earlier.done.add(i);
+        for (const n of new Set(finished.map((i) => Math.floor(i / EARLIER_CHUNK))))
+          store.set(`bits/req-1/${String(n).padStart(4, '0')}`, earlier.chunk(n, tasks));
+      } else {
+        const job = new Job(spec({ id: 'req-1', tasks }), 1, 0, true);
+        for (const [key, bytes] of store) load(job, layout, key, bytes);
+        assert.equal(job.done, done.size);
+        for (const i of finished) job.finish(i);
+        for (const chunk of new Set(finished.map((i) => layout.chunkOf(i)))) {
+          const bytes = job.chunkBits(chunk, layout.tasksPerChunk);
+          assert.ok(Buffer.from(bytes).toString('base64').length + 2 <= lowest * KIB);
+          store.set(layout.key('req-1', chunk), bytes);
+        }
+      }
+      for (const i of finished) done.add(i);
+    }
+  }
+});
+
+function entry(n: number): RosterEntry {
+  const name = `n-${String(n).padStart(6, '0')}`;
+  return { id: name, type: 'm16', zone: 'a', spot: true, address: `10.1.0.${n}:9000` };
+}
+
+test('a roster page from under the old limit is written anew only in parts that fit', () => {
+  const pageBytes = NEXT.value_kb * KIB * 0.9;
+  const roster = new Roster(4, pageBytes);
+  const all = Array.from({ length: 32 }, (_, i) => entry(i + 1));
+  roster.restore('3-1', 10, all);
+  roster.gone('n-000002');
+  const stored = new Map<string, RosterEntry[]>([['3-1', all]]);
+  for (let revision = 11, writes = roster.clean(9); writes.length > 0; writes = roster.clean(9))
+    for (const w of writes) {
+      assert.ok(JSON.stringify({ machines: w.entries }).length <= NEXT.value_kb * KIB, w.key);
+      stored.set(w.key, w.entries);
+      w.applied(revision++);
+      // At no moment is a machine that may have tasks missing.
+      const names = new Set([...stored.values()].flat().map((e) => e.id));
+      for (const e of all) if (e.id !== 'n-000002') assert.ok(names.has(e.id), e.id);
+    }
+  assert.ok((stored.get('3-1')?.length ?? 99) < 32);
+  assert.ok([...stored.values()].flat().every((e) => e.id !== 'n-000002'));
+});
+
+test('a page that could not be moved is left as it is, and no machine is taken off it', () => {
+  const roster = new Roster(4, 400);
+  roster.restore('3-1', 10, [1, 2, 3, 4, 5, 6, 7, 8].map(entry));
+  roster.gone('n-000001');
+  const moves = roster.clean(9);
+  assert.ok(moves.length > 0 && moves.every((w) => w.key !== '3-1'));
+  // No answer: what stands there is not known, so both pages keep them.
+  for (const w of moves) w.unknown();
+  for (const w of roster.clean(9)) assert.notEqual(w.key, '3-1');
+});
+
+test('peers of both versions read each other, and tokens stay what they were', () => {
+  const sent =
+    '00000070b90002646b696e646673746174757366737461747573b90007646e6f646563632d316b696e6361726e6174696f6e636162636673656e744174fb427a3185c5000000647465726d03676c656164696e67f56773746174654f6bf566636f756e747381836a7265712d3030303431320904';
+  const status = {
+    kind: 'status',
+    status: {
+      node: 'c-1',
+      incarnation: 'abc',
+      sentAt: 1_800_000_000_000,
+      term: 3,
+      leading: true,
+      stateOk: true,
+      counts: [['req-000412', 9, 4]],
+    },
+  };
+  assert.deepEqual(new FrameReader().push(Buffer.from(sent, 'hex')), [status]);
+  assert.equal(frame(status).toString('hex'), sent);
+  const ask =
+    '00000041b90004646b696e646361736b616e07626f706963616e63656c6c6564677061796c6f6164b90002636a6f626a7265712d303030343132687265766973696f6e185a';
+  const question = {
+    kind: 'ask',
+    n: 7,
+    op: 'cancelled',
+    payload: { job: 'req-000412', revision: 90 },
+  };
+  assert.equal(frame(question).toString('hex'), ask);
+  assert.equal(tokenOf(3, 5), 3_145_733);
+});
+
+test('what work is expected is kept in pages that fit; the first is the one that both versions read', async () => {
+  const clock = new FakeClock();
+  const store = new FakeStore(clock);
+  store.limits = { valueBytes: NEXT.value_kb * KIB, changes: NEXT.txn_ops };
+  const ctx = context('n-0', new FakeState(store), clock, NEXT);
+  const stop = new AbortController();
+  const term = { term: 1, version: 0, signal: stop.signal } as never;
+  const c = cluster();
+  const renting = new Renting(c);
+  const loads = new Loads(ctx, term, renting);
+  for (let i = 1; i <= 12; i++) loads.arrived(spec({ jobClass: `class-${i}`, tasks: i }), i);
+  void loads.run(stop.signal).catch(() => {});
+  await clock.advance(ctx.timing.loadsMs + 1);
+  stop.abort();
+  await settle();
+  assert.deepEqual(store.oversize, []);
+  const first = store.entries.get('loads')?.value as { loads: unknown[]; upTo: number };
+  assert.equal(first.upTo, 12);
+  const next = new Renting(c);
+  const again = new Loads(ctx, { term: 2, signal: new AbortController().signal } as never, next);
+  await again.read();
+  // Four pages take them all but for the smallest.
+  const kept = next.snapshot().map((l) => l.spec.jobClass);
+  assert.ok(kept.length > first.loads.length && kept.length >= 10, `${kept.length}`);
+  // A job that is counted in it is not counted again.
+  again.arrived(spec({ jobClass: 'class-12' }), 12);
+  assert.equal(next.snapshot().length, kept.length);
+  // As the version before writes it.
+  store.entries.set('loads', {
+    key: 'loads',
+    version: 3,
+    value: {
+      loads: [
+        {
+          spec: LIVE_JOB.spec,
+          mean: 8240,
+          variance: 329600000,
+          shape: { cpus: 2, gpus: 0, memoryGb: 4 },
+          holdS: 20.6,
+          gapMs: 50000,
+          quietMs: 0,
+        },
+      ],
+      upTo: 77,
+    },
+  });
+  await again.read();
+  assert.deepEqual(
+    next.snapshot().map((l) => l.mean),
+    [8240],
+  );
+});
+
+test('a write that is refused for its size is not repeated, and holds up no other', async () => {
+  const clock = new FakeClock();
+  const store = new FakeStore(clock);
+  const state = new FakeState(store);
+  const ctx = context('n-0', state, clock, NEXT);
+  const stop = new AbortController();
+  const c = cluster();
+  const w = joined(c, new ScriptedWorker('n-1'), 0);
+  for (const n of [1, 2]) {
+    const id = `req-00000${n}`;
+    store.transact([], [{ op: 'put', key: `live/${id}`, value: {} }]);
+    c.addJob(spec({ id, tasks: 1 }), store.revision, 0, false);
+  }
+  round(c, 9, 0);
+  beat(c, w, 10);
+  for (const key of [...w.tasks.keys()]) w.exit(key, 'done');
+  beat(c, w, 20);
+  let refused = 0;
+  const { transact } = state;
+  state.transact = (conditions, changes) => {
+    if (!changes.some((x) => x.key === 'over/req-000001'))
+      return transact.call(state, conditions, changes);
+    refused++;
+    return Promise.reject(new Rejected('400 too large'));
+  };
+  const term = { term: 1, version: 0, signal: stop.signal, resign: () => {} } as never;
+  void new Flusher(ctx, term, c).run(stop.signal).catch(() => {});
+  await clock.advance(ctx.timing.flushMs * 1.5);
+  assert.ok(store.entries.has('over/req-000002'));
+  assert.equal(refused, 2);
+  stop.abort();
+  assert.equal(flushUnits(c, { spare: 9, wallNow: 0 }).length, 1);
+});
+
+test('a 429 to a change lowers the rate of changes at once, and what leads still goes first', async () => {
+  const clock = new FakeClock();
+  let status = 200;
+  const stop = new AbortController();
+  const server = await serve(
+    {
+      host: '127.0.0.1',
+      port: 0,
+      handler: () => ({ status, body: { ledgerRev: 1 } }),
+      maxConnections: 10,
+      requestMs: 60_000,
+      idleMs: 60_000,
+      spareMs: 0,
+      onError: () => {},
+    },
+    stop.signal,
+  );
+  const { port } = server.address() as { port: number };
+  const state = new StateClient({
+    address: { host: '127.0.0.1', port },
+    requestsPerS: 1000,
+    changesPerS: 100,
+    loweredChangesPerS: 10,
+    timeoutMs: 50,
+    clock,
+  });
+  const put = (priority: 0 | 1) =>
+    state.transact([], [{ op: 'put', key: 'a', value: 1 }], priority);
+  /** Changes that pass before the budget puts one off. */
+  const passing = async () => {
+    for (let n = 0; ; n++) {
+      const taken = await Promise.race([put(1), settle().then(() => clock.advance(60))]).catch(
+        (error) => (error instanceof Refused ? null : Promise.reject(error)),
+      );
+      if (!taken) return n;
+    }
+  };
+  try {
+    status = 429;
+    await assert.rejects(put(1), Refused);
+    status = 200;
+    await clock.advance(1000);
+    const n = await passing();
+    assert.ok(n > 0 && n <= 10, `${n} in a second`);
+    assert.equal((await put(0)).ok, true);
+  } finally {
+    state.close();
+    stop.abort();
+  }
+});
+
+test('orders that a mail has no room for are left out from the end', () => {
+  const orders = Array.from({ length: 100 }, (_, i) => ({
+    verb: 'forget',
+    hand: `req-1/${i}`,
+    try: 1,
+  }));
+  const fit = fitOrders({ baton: 7, orders }, 1000) as { baton: number; orders: unknown[] };
+  assert.ok(JSON.stringify(fit).length <= 1000);
+  assert.deepEqual(fit.orders, orders.slice(0, fit.orders.length));
+  assert.ok(fit.orders.length > 10);
+  assert.deepEqual(fitOrders({ error: 'x' }, 1), { error: 'x' });
+});
+
+test('without limits to come nothing changes but the names of bitmaps', () => {
+  const ctx = context('n-0', new FakeState(new FakeStore(new FakeClock())), new FakeClock());
+  const limits = stateLimitsOf(ctx.platform);
+  assert.deepEqual(limits, {
+    presentValueBytes: 8192,
+    valueBytes: 8192,
+    changes: 12,
+    changesPerS: 50,
+    loweredChangesPerS: 50,
+  });
+  assert.equal(BitmapLayout.forValues(8192, 8192).tasksPerChunk, EARLIER_CHUNK);
+});
