--- a/test/upstream.test.ts
+++ b/test/upstream.test.ts
@@ -4,28 +4,10 @@
 import { FakeClock } from './support/clock.js';
 import { context } from './support/context.js';
 import { FakeState, FakeStore } from './support/state.js';
+import { SUBMISSION } from './support/submission.js';
 import { World } from './support/world.js';
 
 const NEXT = { value_kb: 2, txn_ops: 4, write_rps: 30 };
-const BODY = {
-  bracket: 'work',
-  crew: 'ops',
-  form: 'array',
-  rank: 'standard',
-  hands: 2,
-  cores: 2,
-  accelerators: 0,
-  memoryGb: 4,
-  deck: 'img',
-  pullGb: 1,
-  oneZone: false,
-  scatter: false,
-  loaner: false,
-  expectedS: 10,
-  markEveryS: 0,
-  markCostS: 0,
-};
-
 /** Nodes without a leader: what they answer rests on the state service alone. */
 function nodes() {
   const clock = new FakeClock();
@@ -41,7 +23,7 @@
       async () => {},
     );
     const submit = (n: number, awaits?: unknown, fields: object = {}) =>
-      users.submit(Buffer.from(JSON.stringify({ ...BODY, id: id(n), awaits, ...fields })));
+      users.submit(Buffer.from(JSON.stringify({ ...SUBMISSION, id: id(n), awaits, ...fields })));
     const standing = async (n: number) =>
       ((await users.query(id(n))).body as { standing?: string }).standing;
     return { users, submit, standing, state, ctx, counts };
--- a/test/users.test.ts
+++ b/test/users.test.ts
@@ -6,26 +6,9 @@
 import { TYPE } from './support/cluster.js';
 import { context } from './support/context.js';
 import { FakeState, FakeStore } from './support/state.js';
+import { SUBMISSION } from './support/submission.js';
 
-const BODY = {
-  id: 'req-000412',
-  bracket: 'work',
-  crew: 'ops',
-  form: 'array',
-  rank: 'standard',
-  hands: 2,
-  cores: 2,
-  accelerators: 0,
-  memoryGb: 4,
-  deck: 'img',
-  pullGb: 1,
-  oneZone: false,
-  scatter: false,
-  loaner: false,
-  expectedS: 10,
-  markEveryS: 0,
-  markCostS: 0,
-};
+const BODY = { ...SUBMISSION, id: 'req-000412' };
 
 function world() {
   const clock = new FakeClock();
