--- a/src/clients/state.ts
+++ b/src/clients/state.ts
@@ -58,6 +58,7 @@
     prefix: string,
     after: string | null,
     signal?: AbortSignal,
+    priority?: Priority,
   ): Promise<{ entries: Entry[]; more: boolean; revision: number }>;
   transact(
     conditions: Condition[],
@@ -113,9 +114,14 @@
     return answer.status === 404 ? null : parseEntry(answer.body);
   }
 
-  async listPage(prefix: string, after: string | null, signal?: AbortSignal) {
+  async listPage(
+    prefix: string,
+    after: string | null,
+    signal?: AbortSignal,
+    priority: Priority = Priority.lead,
+  ) {
     const target = listTarget(prefix, after, LIST_LIMIT);
-    return parsePage((await this.call('GET', target, undefined, Priority.lead, 0, signal)).body);
+    return parsePage((await this.call('GET', target, undefined, priority, 0, signal)).body);
   }
 
   async transact(
--- a/src/config/timing.ts
+++ b/src/config/timing.ts
@@ -36,6 +36,8 @@
   flushMs: number;
   /** What a node has read of a job that others need counts for this long, as far as it was live. */
   upstreamFreshMs: number;
+  /** A list of upstream jobs whose job is not live is removed after this long. */
+  orphanListMs: number;
   rentMs: number;
   silentMs: number;
   workerLeaseMs: number;
@@ -83,6 +85,8 @@
     flushMs: Math.max(reportMs / 30, 5000 / state.write_rps),
     // Somebody may be told that a job waits for as long after a job upstream of it was cancelled: well within cancel_s.
     upstreamFreshMs: cancelMs * 0.2,
+    // Removal is safe at any moment; the time keeps it from making submissions under way begin anew.
+    orphanListMs: cancelMs * 2,
     rentMs: reportMs / 3,
     silentMs: reportMs * 3,
     workerLeaseMs,
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,7 +1,6 @@
 import type { BitmapLayout } from './bitmap-layout.js';
 import { Job } from './job.js';
 import { type JobEnd, JobGraph } from './job-graph.js';
-import { upstreamKey } from './keys.js';
 import { type Binding, bindingKey, type Drain, Machine } from './machine.js';
 import {
   EPSILON,
@@ -66,10 +65,14 @@
 /** What a job needs, as its record tells. */
 export interface UpstreamList {
   ids: readonly string[];
-  /** All of them stand in the record and this many pages, which have to be read. */
-  pages: number;
+  /** There are more than these, which have to be read. */
+  unread: boolean;
+  /** Keys that go with the job. */
+  keys: readonly string[];
 }
 
+const NO_UPSTREAM: UpstreamList = { ids: [], unread: false, keys: [] };
+
 /** Attempts rise across leaders: the term is the high part. */
 const ATTEMPTS_PER_TERM = 2 ** 28;
 /** Keeps an answer's one line well below the protocol's 64 KiB. */
@@ -174,14 +177,13 @@
     version: number,
     acceptedAt: number,
     inherited: boolean,
-    upstream: UpstreamList = { ids: [], pages: 0 },
+    upstream: UpstreamList = NO_UPSTREAM,
   ): Job | null {
     if (this.jobs.has(spec.id) || this.announced.has(spec.id)) return null;
     const job = new Job(spec, version, acceptedAt, inherited);
     this.jobs.set(spec.id, job);
-    for (let page = 0; page < upstream.pages; page++)
-      job.otherKeys.push(upstreamKey(spec.id, page));
-    if (upstream.pages > 0) this.graph.postpone(job);
+    job.otherKeys.push(...upstream.keys);
+    if (upstream.unread) this.graph.postpone(job);
     else this.graph.link(job, upstream.ids);
     const size = this.sizes.get(spec.jobClass) ?? spec.tasks;
     this.sizes.set(spec.jobClass, size + (spec.tasks - size) * SIZE_RATE);
--- a/src/core/keys.ts
+++ b/src/core/keys.ts
@@ -8,11 +8,28 @@
 /** The accepted job. */
 export const liveKey = (id: string) => `${LIVE_PREFIX}${id}`;
 
+export const OVER_PREFIX = 'over/';
+
 /** The end of a job. */
-export const overKey = (id: string) => `over/${id}`;
+export const overKey = (id: string) => `${OVER_PREFIX}${id}`;
 
 /** A page of what a job needs, where its record has no room for all of it. */
 export const upstreamKey = (id: string, page: number) => `${UPSTREAM_PREFIX}${id}/${page}`;
 
+/** Headers of lists of upstream jobs that are too long for one transaction. */
+export const LIST_HEADER_PREFIX = 'lists/';
+
+/** The header of such a list. */
+export const listHeaderKey = (id: string, token: string) => `${LIST_HEADER_PREFIX}${id}/${token}`;
+
+/** All pages of such a list. */
+export const listPagesPrefix = (id: string, token: string) => `needs/${id}/${token}/`;
+
+const PAGE_DIGITS = 4;
+
+/** A page of such a list; the keys stand in the order of the pages. */
+export const listPageKey = (id: string, token: string, page: number) =>
+  `${listPagesPrefix(id, token)}${String(page).padStart(PAGE_DIGITS, '0')}`;
+
 /** A page of machines that may have been given tasks. */
 export const rosterKey = (page: string) => `${ROSTER_PREFIX}${page}`;
--- a/src/duties/job-store.ts
+++ b/src/duties/job-store.ts
@@ -1,10 +1,13 @@
-import type { Priority } from '../clients/budget.js';
+import { Priority } from '../clients/budget.js';
 import type { Transaction } from '../clients/state.js';
 import { type OverRecord, overRecord } from '../core/flush.js';
-import { liveKey, overKey, upstreamKey } from '../core/keys.js';
+import { LIVE_PREFIX, liveKey, OVER_PREFIX, overKey, upstreamKey } from '../core/keys.js';
 import type { JobSpec } from '../core/model.js';
-import type { Change } from '../protocol/store.js';
+import type { Change, Condition, Entry } from '../protocol/store.js';
 import type { Context } from './context.js';
+import { readKeys } from './key-ranges.js';
+import { type UpstreamListRef, UpstreamLists } from './upstream-lists.js';
+import { bytesOf, paged, TRANSACTION_BYTES, valueRoom } from './value-sizes.js';
 
 /** A job as its live key holds it. Earlier versions read spec and time alone. */
 export interface LiveRecord {
@@ -13,8 +16,14 @@
   at: number;
   /** Jobs that it needs and that were not done when it was accepted. */
   upstream?: string[];
-  /** Further ids of such jobs stand in this many pages of their own. */
+  /** Further ids of such jobs stand in this many pages, written together with the record. */
   upstreamPages?: number;
+  /**
+   * All ids of such jobs stand in a list that was written before the record.
+   * `upstream` then holds a name that no job has: a version that does not know
+   * of lists waits for it, so that it starts nothing too early.
+   */
+  upstreamList?: UpstreamListRef;
 }
 
 export interface LiveJob {
@@ -29,36 +38,78 @@
   version: number;
 }
 
+export type StoredJob = LiveJob | EndedJob;
+
 /** The job takes more room than the state service has for it. */
 export class TooLarge extends Error {}
 
-/** The part of a value that a record or page may fill. */
-const VALUE_SHARE = 0.9;
-/** All that one transaction may hold, with room for its frame (protocol). */
-const TRANSACTION_BYTES = 56 * 1024;
-
 export function needsOthers(record: LiveRecord): boolean {
   return (record.upstream?.length ?? 0) > 0 || (record.upstreamPages ?? 0) > 0;
 }
 
+/** Whether all that the job needs stands in its record. */
+export function isListedInRecord(record: LiveRecord): boolean {
+  return (record.upstreamPages ?? 0) === 0 && record.upstreamList === undefined;
+}
+
+/** A name that no job has, for versions that do not know of lists. */
+function placeholder(id: string): string {
+  return `${id}/list`;
+}
+
 /** Jobs in the state service: how they are found, accepted and cancelled. */
 export class JobStore {
-  constructor(private readonly ctx: Pick<Context, 'state' | 'limits'>) {}
+  private readonly lists: UpstreamLists;
+
+  constructor(private readonly ctx: Pick<Context, 'state' | 'limits'>) {
+    this.lists = new UpstreamLists(ctx);
+  }
 
   /** The live key is looked up first: an end moves it, so a job can't slip between the two reads. */
-  async find(
-    id: string,
-    priority: Priority,
-    signal?: AbortSignal,
-  ): Promise<LiveJob | EndedJob | null> {
+  async find(id: string, priority: Priority, signal?: AbortSignal): Promise<StoredJob | null> {
     const live = await this.ctx.state.get(liveKey(id), priority, signal);
-    if (live) return { live: true, record: live.value as LiveRecord, version: live.version };
+    if (live) return liveJob(live);
     return this.findEnd(id, priority, signal);
   }
 
   async findEnd(id: string, priority: Priority, signal?: AbortSignal): Promise<EndedJob | null> {
     const over = await this.ctx.state.get(overKey(id), priority, signal);
-    return over && { live: false, record: over.value as OverRecord, version: over.version };
+    return over && endedJob(over);
+  }
+
+  /** Those of the jobs that were ever accepted, looked up like one. */
+  async findMany(
+    ids: readonly string[],
+    priority: Priority,
+    signal?: AbortSignal,
+  ): Promise<Map<string, StoredJob>> {
+    const found = new Map<string, StoredJob>();
+    const live = await this.entries(LIVE_PREFIX, ids, priority, signal);
+    for (const [id, entry] of live) found.set(id, liveJob(entry));
+    const rest = ids.filter((id) => !found.has(id));
+    for (const [id, job] of await this.findEnds(rest, priority, signal)) found.set(id, job);
+    return found;
+  }
+
+  /** Those of the jobs that have ended. */
+  async findEnds(
+    ids: readonly string[],
+    priority: Priority,
+    signal?: AbortSignal,
+  ): Promise<Map<string, EndedJob>> {
+    const ends = await this.entries(OVER_PREFIX, ids, priority, signal);
+    return new Map([...ends].map(([id, entry]) => [id, endedJob(entry)]));
+  }
+
+  private async entries(
+    prefix: string,
+    ids: readonly string[],
+    priority: Priority,
+    signal?: AbortSignal,
+  ): Promise<Map<string, Entry>> {
+    const keys = ids.map((id) => prefix + id);
+    const found = await readKeys(this.ctx.state, prefix, keys, priority, signal);
+    return new Map([...found].map(([key, entry]) => [key.slice(prefix.length), entry]));
   }
 
   /** All ids of jobs that it needs; null when a page has gone with its job. */
@@ -68,6 +119,7 @@
     priority: Priority,
     signal?: AbortSignal,
   ): Promise<string[] | null> {
+    if (record.upstreamList) return this.lists.read(id, record.upstreamList, priority, signal);
     const ids = [...(record.upstream ?? [])];
     for (let page = 0; page < (record.upstreamPages ?? 0); page++) {
       const entry = await this.ctx.state.get(upstreamKey(id, page), priority, signal);
@@ -77,10 +129,29 @@
     return ids;
   }
 
-  /** Accepts the job unless its id is known. Throws TooLarge when it can't be stored. */
-  create(record: LiveRecord, upstream: readonly string[], priority: Priority) {
+  /**
+   * Accepts the job unless its id is known, with those of the jobs that it
+   * names that were not done. When one transaction has no room for these, all
+   * that it names is written to a list first: unlike what is pending, that is
+   * the same in each repetition, which so continues what is written already.
+   * Throws TooLarge when the job's description can't be stored.
+   */
+  async create(
+    record: LiveRecord,
+    pending: readonly string[],
+    named: readonly string[],
+    priority: Priority,
+  ): Promise<Transaction> {
     const { id } = record.spec;
-    return this.ctx.state.transact(absent(id), this.creation(record, upstream), priority);
+    const creation = this.creation(record, pending);
+    if (creation) return this.ctx.state.transact(absent(id), creation, priority);
+    const { ref, condition } = await this.lists.write(id, named, Priority.ends);
+    const value: LiveRecord = { ...record, upstream: [placeholder(id)], upstreamList: ref };
+    return this.ctx.state.transact(
+      [...absent(id), condition],
+      [{ op: 'put', key: liveKey(id), value }],
+      priority,
+    );
   }
 
   /** Accepts the job as already cancelled unless its id is known. */
@@ -109,18 +180,20 @@
     );
   }
 
-  /** The record, and pages for the ids that it has no room for. */
-  private creation(record: LiveRecord, upstream: readonly string[]): Change[] {
+  /** The record, and pages for the ids that it has no room for; null when one transaction has not. */
+  private creation(record: LiveRecord, upstream: readonly string[]): Change[] | null {
     const { id } = record.spec;
     const { limits } = this.ctx;
-    const room = limits.valueBytes * VALUE_SHARE;
+    const room = valueRoom(limits);
     const base: LiveRecord =
-      upstream.length === 0 ? record : { ...record, upstream: [], upstreamPages: limits.changes };
+      upstream.length === 0
+        ? record
+        : { ...record, upstream: [placeholder(id)], upstreamPages: limits.changes };
     const baseBytes = bytesOf(base);
     if (baseBytes > room) throw new TooLarge('the description of the job is too large');
     const [first = [], ...further] = paged(upstream, room - baseBytes, room);
-    if (further.length + 1 > limits.changes || further.length * room > TRANSACTION_BYTES - room)
-      throw new TooLarge('the job names more jobs than can be kept');
+    if (further.length + 1 > limits.changes) return null;
+    if (further.length * room > TRANSACTION_BYTES - room) return null;
     const value: LiveRecord = {
       ...record,
       ...(first.length > 0 ? { upstream: first } : {}),
@@ -135,29 +208,17 @@
   }
 }
 
-function absent(id: string) {
-  return [
-    { key: liveKey(id), version: 0 },
-    { key: overKey(id), version: 0 },
-  ];
+function liveJob(entry: Entry): LiveJob {
+  return { live: true, record: entry.value as LiveRecord, version: entry.version };
 }
 
-function bytesOf(value: unknown): number {
-  return Buffer.byteLength(JSON.stringify(value));
+function endedJob(entry: Entry): EndedJob {
+  return { live: false, record: entry.value as OverRecord, version: entry.version };
 }
 
-/** The ids in order, in pages of which the first has less room. */
-function paged(ids: readonly string[], firstRoom: number, room: number): string[][] {
-  const pages: string[][] = [[]];
-  let left = firstRoom;
-  for (const id of ids) {
-    const bytes = bytesOf(id) + 1;
-    if (bytes > left) {
-      pages.push([]);
-      left = room - 2;
-    }
-    left -= bytes;
-    pages.at(-1)?.push(id);
-  }
-  return pages;
+function absent(id: string): Condition[] {
+  return [
+    { key: liveKey(id), version: 0 },
+    { key: overKey(id), version: 0 },
+  ];
 }
--- /dev/null
+++ b/src/duties/key-ranges.ts
@@ -0,0 +1,65 @@
+import type { Priority } from '../clients/budget.js';
+import type { StateService } from '../clients/state.js';
+import type { Entry } from '../protocol/store.js';
+
+/** Up to this many keys are read one by one, at the same time; more of them in ranges. */
+export const SINGLE_READS = 8;
+
+/** All keys with the prefix, in their order; what changes meanwhile may or may not show. */
+export async function readPrefix(
+  state: Pick<StateService, 'listPage'>,
+  prefix: string,
+  priority: Priority,
+  signal?: AbortSignal,
+): Promise<Entry[]> {
+  const entries: Entry[] = [];
+  let after: string | null = null;
+  for (;;) {
+    const page: Awaited<ReturnType<StateService['listPage']>> = await state.listPage(
+      prefix,
+      after,
+      signal,
+      priority,
+    );
+    entries.push(...page.entries);
+    const last = page.entries.at(-1);
+    if (!page.more || !last) return entries;
+    after = last.key;
+  }
+}
+
+/**
+ * Those of the keys that stand. Many are read in pages of the range that they
+ * lie in, which takes a request for each page instead of one for each key.
+ */
+export async function readKeys(
+  state: Pick<StateService, 'get' | 'listPage'>,
+  prefix: string,
+  keys: readonly string[],
+  priority: Priority,
+  signal?: AbortSignal,
+): Promise<Map<string, Entry>> {
+  const found = new Map<string, Entry>();
+  if (keys.length <= SINGLE_READS) {
+    const entries = await Promise.all(keys.map((key) => state.get(key, priority, signal)));
+    for (const entry of entries) if (entry) found.set(entry.key, entry);
+    return found;
+  }
+  const wanted = new Set(keys);
+  const sorted = [...wanted].sort();
+  let next = 0;
+  let after = '';
+  while (next < sorted.length) {
+    const key = sorted[next] as string;
+    // Without its last character a key stands before itself, and few others stand between the two.
+    const before = key.slice(0, -1);
+    const from = before > after ? before : after;
+    const page = await state.listPage(prefix, from, signal, priority);
+    for (const entry of page.entries) if (wanted.has(entry.key)) found.set(entry.key, entry);
+    const last = page.entries.at(-1);
+    if (!page.more || !last) return found;
+    after = last.key;
+    while (next < sorted.length && (sorted[next] as string) <= after) next++;
+  }
+  return found;
+}
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -5,7 +5,13 @@
 import type { Platform } from '../config/settings.js';
 import { BitmapLayout } from '../core/bitmap-layout.js';
 import { type Aims, Cluster, type CorePolicy } from '../core/cluster.js';
-import { BITS_PREFIX, LIVE_PREFIX, ROSTER_PREFIX, UPSTREAM_PREFIX } from '../core/keys.js';
+import {
+  BITS_PREFIX,
+  LIVE_PREFIX,
+  ROSTER_PREFIX,
+  UPSTREAM_PREFIX,
+  upstreamKey,
+} from '../core/keys.js';
 import type { MachineReport, Order } from '../core/model.js';
 import { fill, round } from '../core/placement.js';
 import { Renting } from '../core/renting.js';
@@ -17,11 +23,12 @@
 import type { Context } from './context.js';
 import { Fleet } from './fleet.js';
 import { Flusher } from './flusher.js';
-import { JobStore, type LiveRecord } from './job-store.js';
+import { isListedInRecord, JobStore, type LiveRecord } from './job-store.js';
 import type { Term } from './leadership.js';
 import { Loads } from './loads.js';
 import { retry } from './retry.js';
 import { readTypes } from './types.js';
+import { UpstreamListCleaner } from './upstream-list-cleaner.js';
 import { UpstreamResolver } from './upstream-resolver.js';
 
 /** The part of a value that a page of the roster may fill. */
@@ -113,6 +120,7 @@
   private readonly commands: Commands;
   private readonly flusher: Flusher;
   private readonly resolver: UpstreamResolver;
+  private readonly listCleaner: UpstreamListCleaner;
   private readonly fleet: Fleet;
   private readonly loads: Loads;
   private lastRound = 0;
@@ -150,6 +158,7 @@
     });
     this.flusher = new Flusher(ctx, term, this.cluster);
     this.resolver = new UpstreamResolver(ctx, this.cluster, new JobStore(ctx));
+    this.listCleaner = new UpstreamListCleaner(ctx, this.cluster.jobs);
     this.fleet = new Fleet(ctx, term, this.cluster, this.renting, cloud, (addresses) =>
       workers.keep(addresses),
     );
@@ -178,6 +187,7 @@
       this.duty('rounds', (s) => this.rounds(s)),
       this.duty('flush', (s) => this.flusher.run(s)),
       this.duty('upstream', (s) => this.resolver.run(s)),
+      this.duty('upstream lists', (s) => this.listCleaner.run(s)),
       this.duty('list', (s) => this.fleet.listMachines(s)),
       this.duty('renting', (s) => this.fleet.rent(s)),
       this.duty('loads', (s) => this.loads.run(s)),
@@ -262,7 +272,12 @@
       return;
     }
     const inherited = version <= this.term.version;
-    const upstream = { ids: record.upstream ?? [], pages: record.upstreamPages ?? 0 };
+    const pages = Array.from({ length: record.upstreamPages ?? 0 }, (_, page) => page);
+    const upstream = {
+      ids: record.upstream ?? [],
+      unread: !isListedInRecord(record),
+      keys: pages.map((page) => upstreamKey(record.spec.id, page)),
+    };
     const job = this.cluster.addJob(record.spec, version, record.at, inherited, upstream);
     if (job) this.loads.arrived(record.spec, version);
   }
--- /dev/null
+++ b/src/duties/upstream-list-cleaner.ts
@@ -0,0 +1,58 @@
+import { Priority } from '../clients/budget.js';
+import { LIST_HEADER_PREFIX, liveKey } from '../core/keys.js';
+import { pause } from './clock.js';
+import type { Context } from './context.js';
+import { readPrefix } from './key-ranges.js';
+import { type ListHeader, UpstreamLists } from './upstream-lists.js';
+
+/**
+ * Removes lists of upstream jobs whose job has ended or was never accepted. A
+ * list is left alone while its job is live, and for a while after it was first
+ * seen without: its submission may be under way.
+ */
+export class UpstreamListCleaner {
+  private readonly lists: UpstreamLists;
+  /** Since when a list stands without its job, by the header's key. */
+  private readonly orphanSince = new Map<string, number>();
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly liveJobs: Pick<ReadonlyMap<string, unknown>, 'has'>,
+  ) {
+    this.lists = new UpstreamLists(ctx);
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock, timing, log } = this.ctx;
+    while (!signal.aborted) {
+      await pause(clock, timing.workerLeaseMs, signal);
+      try {
+        await this.clean(signal);
+      } catch (error) {
+        if (signal.aborted) return;
+        log.debug({ error: String((error as Error).message) }, 'upstream lists not cleaned');
+      }
+    }
+  }
+
+  private async clean(signal: AbortSignal): Promise<void> {
+    const { clock, timing, state } = this.ctx;
+    const headers = await readPrefix(state, LIST_HEADER_PREFIX, Priority.progress, signal);
+    const standing = new Set(headers.map((e) => e.key));
+    for (const key of this.orphanSince.keys()) if (!standing.has(key)) this.orphanSince.delete(key);
+    for (const { key, value, version } of headers) {
+      const [job = '', token = ''] = key.slice(LIST_HEADER_PREFIX.length).split('/');
+      if (this.liveJobs.has(job)) {
+        this.orphanSince.delete(key);
+        continue;
+      }
+      const now = clock.now();
+      const since = this.orphanSince.get(key);
+      if (since === undefined) this.orphanSince.set(key, now);
+      else if (now - since >= timing.orphanListMs) {
+        const header = { version, value: value as ListHeader };
+        await this.lists.remove(job, token, header, liveKey(job), Priority.progress, signal);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/duties/upstream-lists.ts
@@ -0,0 +1,147 @@
+import { createHash } from 'node:crypto';
+import type { Priority } from '../clients/budget.js';
+import { listHeaderKey, listPageKey, listPagesPrefix } from '../core/keys.js';
+import type { Change, Condition } from '../protocol/store.js';
+import type { Context } from './context.js';
+import { readPrefix } from './key-ranges.js';
+import { paged, TRANSACTION_BYTES, valueRoom } from './value-sizes.js';
+
+/** Where a job's record says that its list of upstream jobs stands. */
+export interface UpstreamListRef {
+  /** Names the content, so that a repeated submission of the same list continues the first one. */
+  token: string;
+  pages: number;
+}
+
+/** The header of a list. While it is being removed, no page may be added and no record may name it. */
+export interface ListHeader {
+  pages: number;
+  removing?: boolean;
+}
+
+/** A list of which every page stands, for as long as the condition holds. */
+export interface StoredList {
+  ref: UpstreamListRef;
+  condition: Condition;
+}
+
+/** The list is being written or removed by another node at the same time. */
+export class ListContended extends Error {}
+
+/** Hexadecimal digits of a token: lists of one job are told apart by it, nothing else. */
+const TOKEN_LENGTH = 16;
+
+/**
+ * Lists of upstream jobs that are too long for one transaction: pages that are
+ * written before the job's record, which names them.
+ *
+ * The header's version is what keeps writing and removal apart. A page is
+ * added, and the record is written, only while the header has the version that
+ * the writer saw before it looked which pages stand. Removal first gives the
+ * header another version, and every deletion requires that one. So a record
+ * never names a page that is missing, whatever is carried out late, and pages
+ * never outlive their header.
+ */
+export class UpstreamLists {
+  constructor(private readonly ctx: Pick<Context, 'state' | 'limits'>) {}
+
+  /** Writes what is missing of the list. What earlier attempts at any node have written counts. */
+  async write(job: string, ids: readonly string[], priority: Priority): Promise<StoredList> {
+    const room = valueRoom(this.ctx.limits);
+    const pages = paged([...ids].sort(), room, room);
+    const token = tokenOf(pages);
+    const condition = await this.openHeader(job, token, pages.length, priority);
+    const prefix = listPagesPrefix(job, token);
+    const standing = new Set(
+      (await readPrefix(this.ctx.state, prefix, priority)).map((e) => e.key),
+    );
+    const missing = pages
+      .map((value, page): Change => ({ op: 'put', key: listPageKey(job, token, page), value }))
+      .filter((change) => !standing.has(change.key));
+    const perTransaction = Math.min(
+      this.ctx.limits.changes,
+      Math.max(1, Math.floor(TRANSACTION_BYTES / room)),
+    );
+    for (let from = 0; from < missing.length; from += perTransaction) {
+      const part = missing.slice(from, from + perTransaction);
+      const written = await this.ctx.state.transact([condition], part, priority);
+      if (!written.ok) throw new ListContended(job);
+    }
+    return { ref: { token, pages: pages.length }, condition };
+  }
+
+  /** The ids of a list; null when it has gone with its job. */
+  async read(
+    job: string,
+    ref: UpstreamListRef,
+    priority: Priority,
+    signal?: AbortSignal,
+  ): Promise<string[] | null> {
+    const prefix = listPagesPrefix(job, ref.token);
+    const entries = await readPrefix(this.ctx.state, prefix, priority, signal);
+    if (entries.length < ref.pages) return null;
+    return entries.flatMap((e) => e.value as string[]);
+  }
+
+  /** Removes a list whose job is not live, as far as the header still has this version. */
+  async remove(
+    job: string,
+    token: string,
+    header: { version: number; value: ListHeader },
+    liveKey: string,
+    priority: Priority,
+    signal?: AbortSignal,
+  ): Promise<void> {
+    const { state, limits } = this.ctx;
+    const key = listHeaderKey(job, token);
+    let { version } = header;
+    if (!header.value.removing) {
+      const value: ListHeader = { ...header.value, removing: true };
+      const marked = await state.transact(
+        [
+          { key, version },
+          { key: liveKey, version: 0 },
+        ],
+        [{ op: 'put', key, value }],
+        priority,
+        signal,
+      );
+      if (!marked.ok) return;
+      version = marked.revision;
+    }
+    const condition: Condition = { key, version };
+    const pages = await readPrefix(state, listPagesPrefix(job, token), priority, signal);
+    for (let from = 0; from < pages.length; from += limits.changes) {
+      const part = pages.slice(from, from + limits.changes);
+      const deletions = part.map((e): Change => ({ op: 'delete', key: e.key }));
+      const deleted = await state.transact([condition], deletions, priority, signal);
+      if (!deleted.ok) return;
+    }
+    await state.transact([condition], [{ op: 'delete', key }], priority, signal);
+  }
+
+  /** Makes sure that the header stands and is not being removed. */
+  private async openHeader(
+    job: string,
+    token: string,
+    pages: number,
+    priority: Priority,
+  ): Promise<Condition> {
+    const { state } = this.ctx;
+    const key = listHeaderKey(job, token);
+    const found = await state.get(key, priority);
+    if (found && !(found.value as ListHeader).removing) return { key, version: found.version };
+    const value: ListHeader = { pages };
+    const written = await state.transact(
+      [{ key, version: found?.version ?? 0 }],
+      [{ op: 'put', key, value }],
+      priority,
+    );
+    if (!written.ok) throw new ListContended(job);
+    return { key, version: written.revision };
+  }
+}
+
+function tokenOf(pages: readonly string[][]): string {
+  return createHash('sha256').update(JSON.stringify(pages)).digest('hex').slice(0, TOKEN_LENGTH);
+}
--- a/src/duties/upstream-resolver.ts
+++ b/src/duties/upstream-resolver.ts
@@ -4,15 +4,15 @@
 import type { Context } from './context.js';
 import type { JobStore } from './job-store.js';
 
-/** Jobs read at the same time. */
+/** Lists read at the same time. */
 const READS_AT_ONCE = 8;
 /** Rounds between two looks, while reads succeed. */
 const LOOK_ROUNDS = 2;
 
 /**
  * Reads for a leader what it has not seen itself: how jobs ended that others
- * wait for (before its term, or ended by another node), and ids of upstream
- * jobs that stand in pages of their own. Nothing that waits for them starts
+ * wait for (before its term, or ended by another node), and lists of upstream
+ * jobs that stand apart from their records. Nothing that waits for them starts
  * before.
  */
 export class UpstreamResolver {
@@ -34,10 +34,9 @@
   private async look(signal: AbortSignal): Promise<boolean> {
     const { graph } = this.cluster;
     const unread = [...graph.unread].slice(0, READS_AT_ONCE);
-    const unresolved = [...graph.unresolved].slice(0, READS_AT_ONCE);
     const results = await Promise.allSettled([
-      ...unread.map((job) => this.readPages(job, signal)),
-      ...unresolved.map((id) => this.readEnd(id, signal)),
+      this.readEnds([...graph.unresolved], signal),
+      ...unread.map((job) => this.readList(job, signal)),
     ]);
     const failure = results.find((r) => r.status === 'rejected');
     if (failure && !signal.aborted)
@@ -45,7 +44,7 @@
     return failure !== undefined;
   }
 
-  private async readPages(job: Job, signal: AbortSignal): Promise<void> {
+  private async readList(job: Job, signal: AbortSignal): Promise<void> {
     const { id } = job.spec;
     const found = await this.store.find(id, Priority.ends, signal);
     // It has ended meanwhile; the watch is about to tell.
@@ -54,9 +53,13 @@
     if (ids) this.cluster.linkUnread(job, ids);
   }
 
-  private async readEnd(id: string, signal: AbortSignal): Promise<void> {
-    const end = await this.store.findEnd(id, Priority.ends, signal);
-    if (!end) throw new Error(`${id} is neither live nor over`);
-    this.cluster.endJob(id, { state: end.record.state, at: end.record.at ?? null });
+  /** All at once: one job may wait for thousands that ended before this term. */
+  private async readEnds(ids: readonly string[], signal: AbortSignal): Promise<void> {
+    if (ids.length === 0) return;
+    const ends = await this.store.findEnds(ids, Priority.ends, signal);
+    for (const [id, { record }] of ends)
+      this.cluster.endJob(id, { state: record.state, at: record.at ?? null });
+    const missing = ids.find((id) => !ends.has(id));
+    if (missing !== undefined) throw new Error(`${missing} is neither live nor over`);
   }
 }
--- a/src/duties/upstream.ts
+++ b/src/duties/upstream.ts
@@ -1,6 +1,8 @@
 import type { Priority } from '../clients/budget.js';
 import type { Context } from './context.js';
-import type { JobStore, LiveRecord } from './job-store.js';
+import { isListedInRecord, type JobStore, type LiveRecord, type StoredJob } from './job-store.js';
+import { SINGLE_READS } from './key-ranges.js';
+import { UpstreamSnapshot } from './upstream-snapshot.js';
 
 /** What was seen of a job. Ends are final; that it is live counts for a while only. */
 type Seen =
@@ -17,95 +19,150 @@
   pending: string[];
 }
 
-/** Jobs that are remembered, the least recently read first to go. */
+/** Jobs that are remembered, the least recently read first to go. To forget one costs a reading. */
 const REMEMBERED = 5000;
-/** Jobs read at the same time, and at the most for one question. */
-const READS_AT_ONCE = 8;
-const MOST_READS = 200;
+/** Jobs read one by one for one question, before all live ones are read together. */
+const MOST_READS = 16;
 
-/** More has to be read than one question may cost; what was read is remembered for the next. */
-export class TooManyReads extends Error {}
+/** More has to be read one by one than a question may cost. */
+class TooManyReads extends Error {}
+
+/** What one question may read one by one. */
+interface ReadAllowance {
+  left: number;
+  /** It waits for nobody: when others read as well, it is better to read all jobs together. */
+  whileOthersRead: boolean;
+}
 
 /**
  * What a node knows of jobs that others need. The leader carries a
  * cancellation to all that needs the job, but it may be away for longer than
  * users may be told otherwise, so a node that is about to call a waiting job
- * queued looks for itself at what that needs.
+ * queued looks for itself at what that needs: a few jobs one by one, larger
+ * trees in a snapshot of all live jobs that questions share.
  */
 export class Upstream {
   private readonly seen = new Map<string, Seen>();
+  private snapshot: UpstreamSnapshot | null = null;
+  private taking: Promise<UpstreamSnapshot> | null = null;
+  /** Reads of single jobs under way. */
+  private reading = 0;
 
   constructor(
-    private readonly ctx: Pick<Context, 'clock' | 'timing'>,
+    private readonly ctx: Pick<Context, 'clock' | 'timing' | 'state'>,
     private readonly store: JobStore,
   ) {}
 
   /** For a submission that names these jobs. */
   async standing(ids: readonly string[], priority: Priority): Promise<UpstreamStanding> {
-    const seen = await this.readAll(ids, priority, { left: MOST_READS });
-    const missing = ids.filter((_, i) => seen[i] === null);
-    const pending = ids.filter((_, i) => seen[i]?.state === 'live');
-    let cancelled = seen.some((s) => s?.state === 'cancelled');
-    if (missing.length === 0 && !cancelled) cancelled = await this.anyCancelled(pending, priority);
+    const readAt = this.ctx.clock.now();
+    const jobs = await this.store.findMany(ids, priority);
+    const missing: string[] = [];
+    const pending: string[] = [];
+    let cancelled = false;
+    for (const id of ids) {
+      const job = jobs.get(id);
+      if (!job) missing.push(id);
+      else if (job.live) pending.push(id);
+      else if (job.record.state === 'cancelled') cancelled = true;
+    }
+    if (missing.length > 0 || cancelled) return { missing, cancelled, pending };
+    for (const [id, job] of jobs) this.rememberIfComplete(id, job, readAt);
+    cancelled = await this.anyCancelled(pending, priority);
     return { missing, cancelled, pending };
   }
 
   /** Whether a job that this live one needs, directly or through others, was cancelled. */
   async cancelledAbove(id: string, record: LiveRecord, priority: Priority): Promise<boolean> {
+    const known = this.freshSnapshot()?.isCancelled(id) ?? null;
+    if (known !== null) return known;
     const ids = await this.store.upstreamOf(id, record, priority);
     return ids !== null && this.anyCancelled(ids, priority);
   }
 
   private async anyCancelled(ids: readonly string[], priority: Priority): Promise<boolean> {
-    const budget = { left: MOST_READS };
+    try {
+      return await this.walk(ids, priority, { left: MOST_READS, whileOthersRead: false });
+    } catch (error) {
+      if (!(error instanceof TooManyReads)) throw error;
+    }
+    await this.takeSnapshot(priority);
+    // What is left is what was accepted after the snapshot.
+    return this.walk(ids, priority, { left: MOST_READS, whileOthersRead: true });
+  }
+
+  /** Looks at the jobs and at all that they need, as far as no snapshot knows them. */
+  private async walk(
+    ids: readonly string[],
+    priority: Priority,
+    allowance: ReadAllowance,
+  ): Promise<boolean> {
+    const snapshot = this.freshSnapshot();
     const visited = new Set(ids);
-    let level = [...visited];
-    while (level.length > 0) {
-      const seen = await this.readAll(level, priority, budget);
-      level = [];
-      for (const s of seen) {
-        if (s?.state === 'cancelled') return true;
-        if (s?.state !== 'live') continue;
-        for (const id of s.upstream) {
-          if (visited.has(id)) continue;
-          visited.add(id);
-          level.push(id);
-        }
+    const open = [...visited];
+    for (let id = open.pop(); id !== undefined; id = open.pop()) {
+      const known = snapshot?.isCancelled(id) ?? null;
+      if (known) return true;
+      if (known === false) continue;
+      const seen = await this.read(id, priority, allowance);
+      if (seen?.state === 'cancelled') return true;
+      if (seen?.state !== 'live') continue;
+      for (const needed of seen.upstream) {
+        if (visited.has(needed)) continue;
+        visited.add(needed);
+        open.push(needed);
       }
     }
     return false;
   }
 
-  /** Null for each that was never accepted. */
-  private async readAll(
-    ids: readonly string[],
-    priority: Priority,
-    budget: { left: number },
-  ): Promise<(Seen | null)[]> {
-    const out: (Seen | null)[] = [];
-    for (let from = 0; from < ids.length; from += READS_AT_ONCE) {
-      const part = ids.slice(from, from + READS_AT_ONCE);
-      out.push(...(await Promise.all(part.map((id) => this.read(id, priority, budget)))));
+  private freshSnapshot(): UpstreamSnapshot | null {
+    const { clock, timing } = this.ctx;
+    const { snapshot } = this;
+    if (snapshot && clock.now() - snapshot.askedAt < timing.upstreamFreshMs) return snapshot;
+    return null;
+  }
+
+  /** One at a time, for all questions that want one. */
+  private async takeSnapshot(priority: Priority): Promise<void> {
+    this.taking ??= UpstreamSnapshot.take(this.ctx, this.store, this.snapshot, priority);
+    const { taking } = this;
+    try {
+      this.snapshot = await taking;
+    } finally {
+      if (this.taking === taking) this.taking = null;
     }
-    return out;
   }
 
   private async read(
     id: string,
     priority: Priority,
-    budget: { left: number },
+    allowance: ReadAllowance,
   ): Promise<Seen | null> {
     const { clock, timing } = this.ctx;
     const known = this.seen.get(id);
     const readAt = clock.now();
     if (known && (known.state !== 'live' || readAt - known.readAt < timing.upstreamFreshMs))
       return known;
-    if (--budget.left < 0) throw new TooManyReads('too many jobs upstream to look at in one go');
-    const job = await this.store.find(id, priority);
-    if (!job) return null;
-    if (!job.live) return this.remember(id, { state: job.record.state });
-    const upstream = (await this.store.upstreamOf(id, job.record, priority)) ?? [];
-    return this.remember(id, { state: 'live', upstream, readAt });
+    const crowded = this.reading >= SINGLE_READS && !allowance.whileOthersRead;
+    if (--allowance.left < 0 || crowded) throw new TooManyReads();
+    this.reading++;
+    try {
+      const job = await this.store.find(id, priority);
+      if (!job) return null;
+      if (!job.live) return this.remember(id, { state: job.record.state });
+      const upstream = (await this.store.upstreamOf(id, job.record, priority)) ?? [];
+      return this.remember(id, { state: 'live', upstream, readAt });
+    } finally {
+      this.reading--;
+    }
+  }
+
+  /** Keeps what one reading told of a job, unless what it needs has to be read as well. */
+  private rememberIfComplete(id: string, job: StoredJob, readAt: number): void {
+    if (!job.live) this.remember(id, { state: job.record.state });
+    else if (isListedInRecord(job.record))
+      this.remember(id, { state: 'live', upstream: job.record.upstream ?? [], readAt });
   }
 
   private remember(id: string, seen: Seen): Seen {
--- a/src/duties/users.ts
+++ b/src/duties/users.ts
@@ -12,15 +12,18 @@
   submissionId,
 } from '../protocol/wire.js';
 import type { Context } from './context.js';
+import { JobLookups } from './job-lookups.js';
 import {
   type EndedJob,
   JobStore,
   type LiveJob,
   type LiveRecord,
   needsOthers,
+  type StoredJob,
   TooLarge,
 } from './job-store.js';
 import { Upstream } from './upstream.js';
+import { ListContended } from './upstream-lists.js';
 
 /** Counts of a live job's tasks, for display only. */
 interface Counts {
@@ -64,6 +67,7 @@
 export class Users {
   private readonly store: JobStore;
   private readonly upstream: Upstream;
+  private readonly questions: JobLookups;
 
   constructor(
     private readonly ctx: Context,
@@ -73,11 +77,15 @@
   ) {
     this.store = new JobStore(ctx);
     this.upstream = new Upstream(ctx, this.store);
+    this.questions = new JobLookups(this.store, Priority.questions);
   }
 
-  private async lookup(id: string, priority: Priority = Priority.users): Promise<Known | null> {
-    const job = await this.store.find(id, priority);
-    if (!job) return null;
+  private async lookup(id: string): Promise<Known | null> {
+    const job = await this.store.find(id, Priority.users);
+    return job && this.known(id, job, Priority.users);
+  }
+
+  private async known(id: string, job: StoredJob, priority: Priority): Promise<Known> {
     if (!job.live) return ended(job);
     const counts = this.counts(id);
     const running = (counts?.running ?? 0) > 0;
@@ -130,7 +138,7 @@
       if ('refusal' in submission) return (await this.knownReply(id)) ?? submission.refusal;
       const { spec, upstream } = submission;
       return upstream.length === 0
-        ? await this.accept(spec, [])
+        ? await this.accept(spec, [], [])
         : await this.acceptDownstream(spec, upstream);
     } catch (error) {
       return this.failed(error);
@@ -166,18 +174,19 @@
     const upstream = await this.upstream.standing(named, Priority.users);
     if (upstream.missing.length > 0)
       return refuse(422, `never accepted: ${upstream.missing.slice(0, MOST_NAMED).join(', ')}`);
-    if (!upstream.cancelled) return this.accept(spec, upstream.pending);
+    if (!upstream.cancelled) return this.accept(spec, upstream.pending, named);
     const created = await this.store.createCancelled(spec, Priority.users);
     if (!created.ok) return (await this.knownReply(spec.id)) ?? unavailable('try again');
     return { status: 201, body: acceptedAnswer(spec.id, 'cancelled') };
   }
 
-  private async accept(spec: JobSpec, upstream: string[]): Promise<Reply> {
+  private async accept(spec: JobSpec, pending: string[], named: string[]): Promise<Reply> {
     const record: LiveRecord = { spec, at: this.ctx.clock.wall() };
     try {
-      const created = await this.store.create(record, upstream, Priority.users);
+      const created = await this.store.create(record, pending, named, Priority.users);
       if (!created.ok) return (await this.knownReply(spec.id)) ?? unavailable('try again');
     } catch (error) {
+      if (error instanceof ListContended) return unavailable('another node has the same job');
       if (!(error instanceof TooLarge)) throw error;
       return (await this.knownReply(spec.id)) ?? refuse(422, error.message);
     }
@@ -188,8 +197,9 @@
   async query(id: string): Promise<Reply> {
     if (!JOB_ID.test(id)) return refuse(404, 'no such job');
     try {
-      const known = await this.lookup(id, Priority.questions);
-      if (!known) return refuse(404, 'no such job');
+      const job = await this.questions.find(id);
+      if (!job) return refuse(404, 'no such job');
+      const known = await this.known(id, job, Priority.questions);
       const counts = known.live ? this.counts(id) : null;
       const done = known.standing === 'done' ? known.tasks : (counts?.done ?? 0);
       return {
--- /dev/null
+++ b/test/upstream-lists.test.ts
@@ -0,0 +1,333 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { round } from '../src/core/placement.js';
+import { JobStore, type LiveRecord } from '../src/duties/job-store.js';
+import { UpstreamListCleaner } from '../src/duties/upstream-list-cleaner.js';
+import { UpstreamResolver } from '../src/duties/upstream-resolver.js';
+import { Users } from '../src/duties/users.js';
+import { FakeClock, settle } from './support/clock.js';
+import { cluster, joined, ScriptedWorker, spec } from './support/cluster.js';
+import { context, type NextLimits } from './support/context.js';
+import { FakeState, FakeStore } from './support/state.js';
+import { SUBMISSION } from './support/submission.js';
+
+const NEXT: NextLimits = { value_kb: 2, txn_ops: 4, write_rps: 30 };
+const PRESENT_LIMITS = { valueBytes: 8 * 1024, changes: 12 };
+/** Ids of the common length that fit a body of 64 KiB beside the other fields. */
+const MOST_IDS = 4900;
+
+function id(n: number): string {
+  return `req-${String(n).padStart(6, '0')}`;
+}
+
+/** A store with accepted jobs, and nodes of which none leads. */
+class Scene {
+  readonly clock = new FakeClock();
+  readonly store = new FakeStore(this.clock);
+
+  constructor(readonly next: NextLimits | null = NEXT) {
+    this.store.limits = next
+      ? { valueBytes: next.value_kb * 1024, changes: next.txn_ops }
+      : PRESENT_LIMITS;
+  }
+
+  node(): SceneNode {
+    return new SceneNode(this);
+  }
+
+  /** Jobs that were accepted, each after those that it needs. */
+  accepted(n: number, upstream: string[] = []): string {
+    const record = { spec: spec({ id: id(n), tasks: 2 }), at: 0, upstream };
+    const limits = this.store.limits;
+    this.store.limits = null;
+    this.store.transact([], [{ op: 'put', key: `live/${id(n)}`, value: record }]);
+    this.store.limits = limits;
+    return id(n);
+  }
+
+  end(job: string, state: 'done' | 'cancelled'): void {
+    this.store.transact(
+      [],
+      [
+        { op: 'put', key: `over/${job}`, value: { state, tasks: 2 } },
+        { op: 'delete', key: `live/${job}` },
+      ],
+    );
+  }
+
+  keys(prefix: string): string[] {
+    return [...this.store.entries.keys()].filter((key) => key.startsWith(prefix));
+  }
+
+  record(job: string): LiveRecord {
+    return this.store.entries.get(`live/${job}`)?.value as LiveRecord;
+  }
+}
+
+class SceneNode {
+  readonly state: FakeState;
+  readonly ctx: ReturnType<typeof context>;
+  readonly users: Users;
+  readonly jobs: JobStore;
+
+  constructor(scene: Scene) {
+    this.state = new FakeState(scene.store);
+    this.ctx = context('n-0', this.state, scene.clock, scene.next);
+    this.jobs = new JobStore(this.ctx);
+    this.users = new Users(
+      this.ctx,
+      () => null,
+      async () => {},
+    );
+  }
+
+  submit(job: string, awaits: string[]) {
+    return this.users.submit(Buffer.from(JSON.stringify({ ...SUBMISSION, id: job, awaits })));
+  }
+
+  async standing(job: string): Promise<string | undefined> {
+    return ((await this.users.query(job)).body as { standing?: string }).standing;
+  }
+
+  /** What the stored job needs, as a leader reads it. */
+  async upstream(job: string, record: LiveRecord): Promise<string[] | null> {
+    return this.jobs.upstreamOf(job, record, 0);
+  }
+
+  /** Runs the duty that removes lists without a job. */
+  clean(liveJobs: string[]): AbortController {
+    const stop = new AbortController();
+    void new UpstreamListCleaner(this.ctx, new Set(liveJobs)).run(stop.signal);
+    return stop;
+  }
+}
+
+for (const [name, next] of [
+  ['the present', null],
+  ['the lower', NEXT],
+] as const)
+  test(`a list as long as a body allows is accepted under ${name} limits`, async () => {
+    const scene = new Scene(next);
+    const node = scene.node();
+    const named = Array.from({ length: MOST_IDS }, (_, i) => scene.accepted(100_000 + i));
+    // Those that have ended lie among many others.
+    for (let i = 0; i < 4000; i++) scene.end(named[i] as string, 'done');
+    const body = JSON.stringify({ ...SUBMISSION, id: id(1), awaits: named });
+    assert.ok(body.length <= 64 * 1024);
+    assert.deepEqual(await node.submit(id(1), named), {
+      status: 201,
+      body: { id: id(1), standing: 'queued' },
+    });
+    assert.deepEqual(scene.store.oversize, []);
+    assert.ok(node.state.requests < 100, `${node.state.requests} requests`);
+    const needs = await node.upstream(id(1), scene.record(id(1)));
+    for (const job of named.slice(4000)) assert.ok(needs?.includes(job), job);
+    assert.equal((await node.submit(id(1), named)).status, 200);
+    assert.equal((await node.submit(id(2), [...named, id(3)])).status, 422);
+    // The last of them counts like the first, wherever it stands.
+    scene.end(named.at(-1) as string, 'cancelled');
+    await scene.clock.advance(node.ctx.timing.upstreamFreshMs);
+    assert.equal(await node.standing(id(1)), 'cancelled');
+  });
+
+test('a leader starts a job with a long list only when all of it is done, most of it before its term', async () => {
+  const scene = new Scene();
+  const node = scene.node();
+  const named = Array.from({ length: 1000 }, (_, i) => scene.accepted(1000 + i));
+  assert.equal((await node.submit(id(1), named)).status, 201);
+  const record = scene.record(id(1));
+  assert.ok(record.upstreamList);
+  for (const job of named.slice(1)) scene.end(job, 'done');
+  const c = cluster();
+  joined(c, new ScriptedWorker('n-1'), 0);
+  const last = c.addJob(spec({ id: named[0] as string, tasks: 1 }), 2, 0, false);
+  assert.ok(c.addJob(record.spec, 5, 0, false, { ids: [], unread: true, keys: [] }));
+  const stop = new AbortController();
+  const resolver = new UpstreamResolver(node.ctx, c, node.jobs);
+  void resolver.run(stop.signal).catch(() => {});
+  const before = node.state.requests;
+  await scene.clock.advance(node.ctx.timing.renewMs * 4);
+  assert.ok(node.state.requests - before < 20, `${node.state.requests - before} requests`);
+  assert.deepEqual([...(c.jobs.get(id(1))?.waitsFor ?? [])], [named[0]]);
+  assert.deepEqual(
+    round(c, 32, 0).started.map((b) => b.job),
+    [last],
+  );
+  c.endJob(named[0] as string, { state: 'done', at: 5 });
+  assert.equal(round(c, 32, 0).started[0]?.job.spec.id, id(1));
+  stop.abort();
+});
+
+test('a long list is resumed after a cut between any two writes, at another node and under another list', async () => {
+  const count = 1600;
+  for (let cut = 0; ; cut++) {
+    const scene = new Scene();
+    const [first, second] = [scene.node(), scene.node()];
+    const named = Array.from({ length: count }, (_, i) => scene.accepted(1000 + i));
+    let left = cut;
+    first.state.onTransact = () => {
+      if (left-- === 0) first.state.fault = cut % 2 === 0 ? 'lose request' : 'lose answer';
+    };
+    const reply = await first.submit(id(1), named);
+    if (reply.status === 201) {
+      assert.ok(cut > 4, 'there are several writes');
+      break;
+    }
+    assert.equal(reply.status, 503);
+    const other = cut % 3 === 0 ? named.slice(0, count - 50) : named;
+    // Not even a job's end meanwhile makes the repetition begin anew.
+    scene.end(named[0] as string, 'done');
+    const repeat = await second.submit(id(1), other);
+    const known = scene.store.entries.get(`live/${id(1)}`);
+    assert.ok([200, 201].includes(repeat.status) && known);
+    // What was on its way arrives late, and the first node's user asks once more.
+    for (const work of first.state.late.splice(0)) assert.doesNotThrow(work);
+    first.state.fault = null;
+    assert.equal((await first.submit(id(1), named)).status, 200);
+    const needs = await first.upstream(id(1), scene.record(id(1)));
+    assert.deepEqual([...(needs ?? [])].sort(), repeat.status === 201 ? other : named);
+    if (other === named) assert.equal(scene.keys('lists/').length, 1);
+    assert.deepEqual(scene.store.oversize, []);
+  }
+});
+
+test('lists whose job was never accepted, or has ended, are removed; those of live jobs stay', async () => {
+  const scene = new Scene();
+  const node = scene.node();
+  const named = Array.from({ length: 700 }, (_, i) => scene.accepted(1000 + i));
+  for (const n of [1, 2]) assert.equal((await node.submit(id(n), named)).status, 201);
+  let writes = 0;
+  node.state.onTransact = () => {
+    if (++writes === 3) node.state.fault = 'lose request';
+  };
+  assert.equal((await node.submit(id(3), named)).status, 503);
+  node.state.fault = null;
+  node.state.onTransact = () => {};
+  scene.end(id(2), 'done');
+  assert.equal(scene.keys('lists/').length, 3);
+  const stop = node.clean([id(1)]);
+  await scene.clock.advance(node.ctx.timing.orphanListMs * 0.9);
+  assert.equal(scene.keys('lists/').length, 3);
+  await scene.clock.advance(node.ctx.timing.orphanListMs * 0.5);
+  for (const prefix of ['lists/', 'needs/'])
+    assert.ok(scene.keys(prefix).every((key) => key.startsWith(`${prefix}${id(1)}/`)));
+  assert.deepEqual((await node.upstream(id(1), scene.record(id(1))))?.length, 700);
+  // What the dead submission still had under way finds its header gone.
+  for (const work of node.state.late.splice(0)) assert.doesNotThrow(work);
+  assert.deepEqual(
+    scene.keys('needs/').filter((key) => key.includes(id(3))),
+    [],
+  );
+  stop.abort();
+});
+
+test('a list is never removed under the record that names it, whichever comes last', async () => {
+  const scene = new Scene();
+  const [node, leader] = [scene.node(), scene.node()];
+  const named = Array.from({ length: 700 }, (_, i) => scene.accepted(1000 + i));
+  const pages = () => scene.keys('needs/').length;
+  // All pages stand, and the record is on its way while the list is removed.
+  node.state.onTransact = (changes) => {
+    if (changes[0]?.key === `live/${id(1)}`) node.state.fault = 'lose request';
+  };
+  assert.equal((await node.submit(id(1), named)).status, 503);
+  const all = pages();
+  assert.ok(all > 4);
+  // Removal gets as far as its first deletion, which is late.
+  leader.state.onTransact = (changes) => {
+    if (changes[0]?.op === 'delete') leader.state.fault = 'lose request';
+  };
+  const stop = leader.clean([]);
+  await scene.clock.advance(leader.ctx.timing.orphanListMs * 1.4);
+  stop.abort();
+  await settle();
+  for (const work of node.state.late.splice(0)) assert.doesNotThrow(work);
+  assert.equal(scene.record(id(1)), undefined);
+  // A repetition takes the list over, and the late deletion fails.
+  node.state.fault = null;
+  node.state.onTransact = () => {};
+  assert.equal((await node.submit(id(1), named)).status, 201);
+  assert.ok(leader.state.late.length > 0);
+  for (const work of leader.state.late.splice(0)) assert.doesNotThrow(work);
+  assert.equal(pages(), all);
+  assert.equal((await node.upstream(id(1), scene.record(id(1))))?.length, 700);
+  // Nor does a leader whose news is late remove it.
+  leader.state.fault = null;
+  leader.state.onTransact = () => {};
+  const again = leader.clean([]);
+  await scene.clock.advance(leader.ctx.timing.orphanListMs * 1.4);
+  again.abort();
+  assert.equal(pages(), all);
+  // A part of a list is never taken for all of it.
+  scene.store.transact([], [{ op: 'delete', key: scene.keys('needs/')[1] as string }]);
+  assert.equal(await node.upstream(id(1), scene.record(id(1))), null);
+});
+
+test('a version that does not know of such lists waits for a job that there is not', async () => {
+  const scene = new Scene();
+  const node = scene.node();
+  const named = Array.from({ length: 700 }, (_, i) => scene.accepted(1000 + i));
+  await node.submit(id(1), named);
+  const record = scene.record(id(1));
+  assert.deepEqual(record.upstream, [`${id(1)}/list`]);
+  assert.equal(record.upstreamPages, undefined);
+  // It takes the ids that stand in the record for all.
+  const c = cluster();
+  joined(c, new ScriptedWorker('n-1'), 0);
+  c.addJob(record.spec, 5, 0, false, { ids: record.upstream ?? [], unread: false, keys: [] });
+  assert.equal(round(c, 32, 0).started.length, 0);
+});
+
+test('questions about a thousand jobs, one after or beside another, cost a bounded number of requests', async () => {
+  const size = 1000;
+  for (const shape of ['deep', 'wide']) {
+    const scene = new Scene();
+    const node = scene.node();
+    const root = scene.accepted(1);
+    const tree: string[] = [];
+    for (let i = 0; i < size; i++)
+      tree.push(scene.accepted(1000 + i, [shape === 'deep' ? (tree.at(-1) ?? root) : root]));
+    const pollAll = async () => {
+      const before = node.state.requests;
+      const answers = await Promise.all(tree.map((job) => node.standing(job)));
+      const requests = node.state.requests - before;
+      return { requests, answers: [...new Set(answers)] };
+    };
+    const polled = await pollAll();
+    assert.deepEqual(polled.answers, ['queued'], shape);
+    assert.ok(polled.requests < 100, `${polled.requests} requests, ${shape}`);
+    // One user alone is not made to read the whole chain either.
+    const alone = scene.node();
+    assert.equal(await alone.standing(tree.at(-1) as string), 'queued');
+    assert.ok(alone.state.requests < 40, `${alone.state.requests} requests, ${shape}`);
+    scene.end(root, 'cancelled');
+    await scene.clock.advance(node.ctx.timing.upstreamFreshMs);
+    assert.equal(await alone.standing(tree.at(-1) as string), 'cancelled', shape);
+    assert.deepEqual((await pollAll()).answers, ['cancelled'], shape);
+    assert.equal(scene.keys('live/').length, 0);
+  }
+});
+
+test('a snapshot of live jobs shows those that were accepted while it was read', async () => {
+  const scene = new Scene();
+  const node = scene.node();
+  const cancelled = scene.accepted(1);
+  const chain = [cancelled];
+  for (let i = 0; i < 40; i++) chain.push(scene.accepted(500_000 + i, [chain.at(-1) as string]));
+  for (let i = 0; i < 600; i++) scene.accepted(1000 + i);
+  scene.end(cancelled, 'cancelled');
+  // Its key stands before the first page's end, and the one that needs it after.
+  const { listPage } = node.state;
+  node.state.listPage = (prefix, after, signal) => {
+    if (prefix === 'live/' && after !== null && !scene.store.entries.has(`live/${id(999)}`)) {
+      scene.accepted(999, [chain.at(-1) as string]);
+      scene.accepted(900_000, [id(999)]);
+    }
+    return listPage.call(node.state, prefix, after, signal);
+  };
+  assert.equal(await node.standing(chain.at(-1) as string), 'cancelled');
+  assert.ok(scene.store.entries.has(`live/${id(999)}`));
+  const requests = node.state.requests;
+  assert.equal(await node.standing(id(900_000)), 'cancelled');
+  assert.ok(node.state.requests - requests < 5);
+});
