Size: nothing that grows with machines is cut off at a fixed number

Gone machines were remembered up to 2,000, below the fleet: in a mass loss the list and late copies of reports would have brought the first of them back. They are kept by time now, and beyond that the order of names decides.

--- a/src/clients/cloud.ts
+++ b/src/clients/cloud.ts
@@ -16,6 +16,16 @@
 export const RETURN_LIMIT = 100;
 const LIST_LIMIT = 500;
 
+/** The list of a large fleet has many pages, which must not hold up rentals and returns. */
+const LIST_PRIORITY = Priority.ends;
+
+interface CallOptions {
+  signal?: AbortSignal | undefined;
+  /** Asked when the request would leave. */
+  fit?: () => boolean;
+  priority?: Priority;
+}
+
 export class CloudClient {
   private readonly http: HttpClient;
   private readonly budget: Budget;
@@ -33,13 +43,16 @@
   }
 
   async types(signal?: AbortSignal) {
-    return parseTypes(await this.call('GET', PATHS.types, undefined, signal));
+    return parseTypes(await this.call('GET', PATHS.types, undefined, { signal }));
   }
 
   /** One page of the machine list. */
   async list(after: string | null, signal?: AbortSignal) {
     return parseMachineList(
-      await this.call('GET', machineListTarget(after, LIST_LIMIT), undefined, signal),
+      await this.call('GET', machineListTarget(after, LIST_LIMIT), undefined, {
+        signal,
+        priority: LIST_PRIORITY,
+      }),
     );
   }
 
@@ -49,7 +62,7 @@
     signal: AbortSignal,
     fit: () => boolean,
   ): Promise<string[] | null> {
-    await this.pace(signal);
+    await this.pace(Priority.users, signal);
     const answer = await this.http.request(
       'POST',
       PATHS.machines,
@@ -66,7 +79,7 @@
 
   /** Resolves only when the cloud has said that the machines are gone. */
   async giveBack(machines: string[], signal: AbortSignal, fit: () => boolean): Promise<void> {
-    await this.call('POST', PATHS.returnMachines, returnBody(machines), signal, fit);
+    await this.call('POST', PATHS.returnMachines, returnBody(machines), { signal, fit });
   }
 
   close(): void {
@@ -77,20 +90,19 @@
     method: string,
     target: string,
     body: unknown,
-    signal?: AbortSignal,
-    fit?: () => boolean,
+    { signal, fit, priority = Priority.users }: CallOptions,
   ) {
-    await this.pace(signal);
+    await this.pace(priority, signal);
     const { timeoutMs } = this.options;
     const answer = await this.http.request(method, target, body, timeoutMs, signal, fit);
     if (answer.status !== 200) throw new NoAnswer(`cloud answered ${answer.status}`);
     return answer.body;
   }
 
-  private async pace(signal?: AbortSignal): Promise<void> {
+  private async pace(priority: Priority, signal?: AbortSignal): Promise<void> {
     const { clock } = this.options;
     for (;;) {
-      const wait = this.budget.take(1, Priority.users, clock.now());
+      const wait = this.budget.take(1, priority, clock.now());
       if (wait === 0) return;
       await clock.sleep(wait, signal);
     }
--- a/src/clients/state.ts
+++ b/src/clients/state.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../duties/clock.js';
-import { type Answer, HttpClient, NoAnswer } from '../http/client.js';
+import { type Answer, AnswerTooLarge, HttpClient, NoAnswer } from '../http/client.js';
 import {
   type Change,
   type Condition,
@@ -69,7 +69,7 @@
   grant(ttlMs: number, signal?: AbortSignal): Promise<number>;
   touch(lease: number, signal?: AbortSignal): Promise<boolean>;
   revoke(lease: number, signal?: AbortSignal): Promise<void>;
-  /** Null: the revision is too old, read the keys again. */
+  /** Null: the revision is too old, or too much has changed since. Read the keys again. */
   watch(
     prefix: string,
     after: number,
@@ -162,15 +162,21 @@
 
   async watch(prefix: string, after: number, waitMs: number, signal?: AbortSignal) {
     await this.spend(Priority.lead, 0, signal);
-    const answer = await this.watches.request(
-      'GET',
-      watchTarget(prefix, after, Math.round(waitMs)),
-      undefined,
-      waitMs + this.options.timeoutMs * 2,
-      signal,
-    );
-    if (answer.status === 410) return null;
-    return parseEvents(this.check(answer).body);
+    try {
+      const answer = await this.watches.request(
+        'GET',
+        watchTarget(prefix, after, Math.round(waitMs)),
+        undefined,
+        waitMs + this.options.timeoutMs * 2,
+        signal,
+      );
+      if (answer.status === 410) return null;
+      return parseEvents(this.check(answer).body);
+    } catch (error) {
+      // Its length has no bound, and the same question would have the same answer: lists come in pages.
+      if (error instanceof AnswerTooLarge) return null;
+      throw error;
+    }
   }
 
   close(): void {
--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,4 +1,5 @@
 import type { BitmapLayout } from './bitmap-layout.js';
+import { GoneMachines } from './gone-machines.js';
 import { Job } from './job.js';
 import { type JobEnd, JobGraph } from './job-graph.js';
 import { type Binding, bindingKey, type Drain, Machine } from './machine.js';
@@ -77,7 +78,8 @@
 const ATTEMPTS_PER_TERM = 2 ** 28;
 /** Keeps an answer's one line well below the protocol's 64 KiB. */
 const ORDERS_PER_ANSWER = 250;
-const TOMBSTONES = 2000;
+/** A machine that is gone is remembered for this many times as long as the list may still show it. */
+const GONE_LIST_PROOFS = 10;
 /** A page of the roster, unless the settings say otherwise. */
 const DEFAULT_PAGE_BYTES = 4096;
 /** How near its latest start makes work pressing, in lengths of its tasks: in that time most of all room comes free. */
@@ -111,8 +113,7 @@
   readonly machines = new Map<string, Machine>();
   readonly teamUse = new Map<string, Use>();
   readonly types = new Map<string, MachineType>();
-  /** Machines proven gone, so that a late report does not bring one back. */
-  private readonly tombstones = new Set<string>();
+  readonly gone: GoneMachines;
   readonly rosterPuts = new Set<Machine>();
   readonly roster: Roster;
   /** Keys of ended jobs' chunks that nobody needs. */
@@ -134,6 +135,8 @@
   readonly toTell = new Set<Machine>();
   /** Machines that may be deaf and are asked whether they hear commands. */
   readonly toProbe = new Set<Machine>();
+  /** Machines that list unknown tasks. */
+  private readonly strayHolders = new Set<Machine>();
   /** How many machines of each kind and place are inherited and neither confirmed nor gone. */
   private readonly inheritedKinds = new Map<string, { like: Placed; count: number }>();
   /** When this leader was last seen to be late itself. */
@@ -159,6 +162,7 @@
     rosterPageBytes = DEFAULT_PAGE_BYTES,
   ) {
     this.roster = new Roster(term, rosterPageBytes);
+    this.gone = new GoneMachines(timing.listProofMs * GONE_LIST_PROOFS);
   }
 
   setTypes(types: MachineType[]): void {
@@ -366,14 +370,9 @@
   }
 
   /** Proof that the machine and all on it are gone. */
-  machineGone(id: string, why: string): void {
+  machineGone(id: string, why: string, now: number): void {
     const m = this.machines.get(id);
-    this.tombstones.add(id);
-    if (this.tombstones.size > TOMBSTONES)
-      for (const old of this.tombstones) {
-        this.tombstones.delete(old);
-        break;
-      }
+    this.gone.add(id, now);
     if (!m) return;
     this.onGone(m);
     const lost = this.releaseAll(m);
@@ -382,6 +381,7 @@
     this.toTell.delete(m);
     this.toProbe.delete(m);
     this.strayTasks.delete(id);
+    this.strayHolders.delete(m);
     this.rosterPuts.delete(m);
     if (m.rostered || m.rostering) this.roster.gone(id);
     this.stirred = true;
@@ -469,8 +469,13 @@
    */
   doubt(): Use {
     const d = { cpus: 0, gpus: 0 };
-    for (const m of this.machines.values()) {
-      if (!m.inherited && !m.strays) continue;
+    // Nothing is known to be bound on an inherited machine before it is confirmed.
+    for (const { like, count } of this.inheritedKinds.values()) {
+      const type = this.types.get(like.typeName);
+      d.cpus += (type?.cpus ?? 0) * count;
+      d.gpus += (type?.gpus ?? 0) * count;
+    }
+    for (const m of this.strayHolders) {
       d.cpus += (m.type?.cpus ?? 0) - m.cpus;
       d.gpus += (m.type?.gpus ?? 0) - m.gpus;
     }
@@ -485,7 +490,8 @@
    * older than what is known.
    */
   report(r: MachineReport, beat: boolean, now: number): boolean {
-    if (this.tombstones.has(r.machine)) return false;
+    if (this.gone.has(r.machine)) return false;
+    if (!this.machines.has(r.machine) && this.gone.mayHaveGone(r.machine)) return false;
     // Only under our own token it can't be a late copy from before this term: an older one proves
     // neither that the machine is alive nor that it exists. Its answer raises the token, and the
     // worker reports again at once.
@@ -603,6 +609,8 @@
       b.state = t.state;
     }
     m.strays = strays.some((t) => t.state !== 'exited');
+    if (m.strays) this.strayHolders.add(m);
+    else this.strayHolders.delete(m);
     if (strays.length > 0) this.strayTasks.set(m.id, strays);
     else this.strayTasks.delete(m.id);
     let lost = false;
@@ -847,10 +855,10 @@
     const seen = new Set<string>();
     for (const l of list) {
       seen.add(l.id);
-      if (this.tombstones.has(l.id)) continue;
+      if (this.gone.has(l.id)) continue;
       if (l.state === 'failed') {
         if (!this.machines.has(l.id)) this.machine(l.id, l.type, l.zone, l.spot, l.ageS, now);
-        this.machineGone(l.id, 'listed as failed');
+        this.machineGone(l.id, 'listed as failed', now);
         continue;
       }
       if (!this.machines.has(l.id))
@@ -869,7 +877,7 @@
       if (seen.has(m.id) || m.lastReport >= askedAt) continue;
       // What is listed stays listed until it is gone, and by now this one would have been listed.
       if (askedAt > m.knownAt + this.timing.listProofMs)
-        this.machineGone(m.id, 'absent from the list');
+        this.machineGone(m.id, 'absent from the list', now);
       // A young one may be up before the list shows it, and what was heard until the asking counts:
       // the answer may have waited while we stood still.
       else if (m.rostered && (m.inherited || askedAt - m.lastReport > missedMs)) m.missing = true;
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -95,6 +95,8 @@
   private loads = new Map<string, Load>();
   private readonly refusals = new Map<string, Refusal>();
   private lastDecay: number | null = null;
+  /** Machines of each type, zone and kind when the plan was begun. */
+  private readonly machineCounts = new Map<string, number>();
 
   constructor(private readonly cluster: Cluster) {}
 
@@ -190,6 +192,7 @@
     this.decay(now);
     if (cluster.types.size === 0) return [];
     const supply = this.supply(now);
+    this.countMachines();
     const plans: RentPlan[] = [];
     const used = new Set<Machine>();
     for (const need of this.needs(now)) {
@@ -201,6 +204,14 @@
     return plans;
   }
 
+  private countMachines(): void {
+    this.machineCounts.clear();
+    for (const m of this.cluster.machines.values()) {
+      const key = classKey(m.typeName, m.zone, m.spot);
+      this.machineCounts.set(key, (this.machineCounts.get(key) ?? 0) + 1);
+    }
+  }
+
   private supply(now: number): Supply[] {
     const { cluster } = this;
     const out: Supply[] = [];
@@ -376,9 +387,7 @@
           if (!typeAllowed(type, zone, spot, spec)) continue;
           const refusal = this.refusals.get(classKey(type.name, zone, spot));
           if (refusal && refusal.until > now) continue;
-          let here = 0;
-          for (const m of this.cluster.machines.values())
-            if (m.zone === zone && m.spot === spot && m.typeName === type.name) here++;
+          const here = this.machineCounts.get(classKey(type.name, zone, spot)) ?? 0;
           out.push({ type, zone, spot, price: (spot ? type.spotPrice : type.price) / k, here });
         }
       }
@@ -493,21 +502,31 @@
       else late.set(m.zone, [m]);
     }
     const out = new Set<Machine>();
+    const waiting = new Map<string, number>();
     for (const [zone, machines] of late) {
       if (machines.length > Math.max(1, (up.get(zone) ?? 0) * MANY_SHARE)) continue;
-      for (const m of machines)
-        if (now - cluster.silentFrom(m) > waitMs && this.waitedFor(m, now)) out.add(m);
+      for (const m of machines) {
+        if (now - cluster.silentFrom(m) <= waitMs) continue;
+        const key = classKey(m.typeName, m.zone, m.spot);
+        const cpus = waiting.get(key) ?? this.inheritedCpusFor(m, now);
+        waiting.set(key, cpus);
+        if (cpus >= (m.type?.cpus ?? 0)) out.add(m);
+      }
     }
     return out;
   }
 
-  /** Inherited work that the machine may hold would fill it, were it free to start elsewhere. */
-  private waitedFor(m: Machine, now: number): boolean {
+  /**
+   * CPUs of the inherited work that a machine of this type, zone and kind may
+   * hold. When it would fill the machine, were it free to start elsewhere, it
+   * is waited for.
+   */
+  private inheritedCpusFor(m: Machine, now: number): number {
     let cpus = 0;
     for (const job of this.cluster.jobs.values())
       if (job.inherited && wantsRoom(job, now) && allowed(m, job.spec))
         cpus += job.ready * job.spec.cpus;
-    return cpus >= (m.type?.cpus ?? 0);
+    return cpus;
   }
 
   private zonesWithManySilent(now: number): Set<string> {
--- a/src/core/roster.ts
+++ b/src/core/roster.ts
@@ -47,6 +47,8 @@
 export class Roster {
   private readonly pages = new Set<Page>();
   private readonly pageOf = new Map<string, Set<Page>>();
+  /** Pages that may have room. One that is found without is left out until it loses a member. */
+  private readonly roomyPages = new Set<Page>();
   private count = 0;
 
   constructor(
@@ -118,12 +120,19 @@
   }
 
   private roomy(bytes: number): Page {
-    for (const page of this.pages)
-      if (!page.writing && page.version !== null && page.bytes + bytes <= this.pageBytes)
-        return page;
+    for (const page of this.roomyPages) {
+      const hasRoom = page.bytes + bytes <= this.pageBytes;
+      if (!hasRoom || page.version === null) this.roomyPages.delete(page);
+      else if (!page.writing) return page;
+    }
     return this.page(`${this.term}-${++this.count}`, 0);
   }
 
+  private drop(page: Page): void {
+    this.pages.delete(page);
+    this.roomyPages.delete(page);
+  }
+
   private page(key: string, version: number): Page {
     const page: Page = {
       key,
@@ -134,6 +143,7 @@
       writing: false,
     };
     this.pages.add(page);
+    this.roomyPages.add(page);
     return page;
   }
 
@@ -157,6 +167,7 @@
     if (!e) return;
     page.members.delete(id);
     page.bytes -= entryBytes(e);
+    this.roomyPages.add(page);
   }
 
   private write(page: Page, added: RosterEntry[]): PageWrite {
@@ -171,13 +182,13 @@
       applied: (revision) => {
         page.writing = false;
         page.version = revision;
-        if (entries.length === 0 && page.members.size === 0) this.pages.delete(page);
+        if (entries.length === 0 && page.members.size === 0) this.drop(page);
       },
       dropped: () => {
         page.writing = false;
         page.stale = true;
         for (const e of added) this.take(page, e.id);
-        if (page.version === 0 && page.members.size === 0) this.pages.delete(page);
+        if (page.version === 0 && page.members.size === 0) this.drop(page);
       },
       unknown: () => {
         page.writing = false;
--- a/src/duties/fleet.ts
+++ b/src/duties/fleet.ts
@@ -12,6 +12,8 @@
 
 /** A look at what is to be rented and returned is followed by this many times as much for everything else. */
 const RENT_REST = 30;
+/** The part of the calls to the cloud that returns may take while many machines have to go. */
+const RETURN_CALLS = 0.5;
 /** A rental without an answer is asked for again under its name, this often in all. */
 const RENT_TRIES = 3;
 
@@ -69,9 +71,10 @@
       if (!this.term.proven()) continue;
       const now = ctx.clock.now();
       const plans = renting.plan(now);
-      const returns = renting.returns(now).slice(0, RETURN_LIMIT);
+      const returns = renting.returns(now).slice(0, RETURN_LIMIT * this.returnCalls());
       tookMs = ctx.clock.now() - now;
-      if (returns.length > 0) await this.giveBack(returns, signal);
+      for (let from = 0; from < returns.length; from += RETURN_LIMIT)
+        await this.giveBack(returns.slice(from, from + RETURN_LIMIT), signal);
       for (const plan of plans) await this.hire(plan, signal);
       if (now - toldAt > ctx.timing.reportEveryMs) {
         toldAt = now;
@@ -83,6 +86,13 @@
     }
   }
 
+  /** Return calls for one look: those for which the cloud has time until the next. */
+  private returnCalls(): number {
+    const { platform, timing } = this.ctx;
+    const calls = (platform.settings.cloud.rps * timing.rentMs * RETURN_CALLS) / 1000;
+    return Math.max(1, Math.floor(calls));
+  }
+
   private async giveBack(
     returns: { machine: Machine; why: Machine['drain'] }[],
     signal: AbortSignal,
@@ -95,7 +105,8 @@
         signal,
         this.term.proven,
       );
-      for (const r of returns) cluster.machineGone(r.machine.id, `returned: ${r.why}`);
+      const now = ctx.clock.now();
+      for (const r of returns) cluster.machineGone(r.machine.id, `returned: ${r.why}`, now);
     } catch (error) {
       if (signal.aborted) return;
       ctx.log.debug({ error: String((error as Error).message) }, 'return not answered');
--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -1,5 +1,5 @@
 import net from 'node:net';
-import { type Message, Parser } from './parser.js';
+import { BodyTooLarge, type Message, Parser } from './parser.js';
 
 export interface Address {
   host: string;
@@ -14,6 +14,9 @@
 /** The request was not answered: it may or may not have been carried out. */
 export class NoAnswer extends Error {}
 
+/** It was answered, at a greater length than is taken. */
+export class AnswerTooLarge extends NoAnswer {}
+
 /** The request never left: no connection was had. */
 export class NotSent extends NoAnswer {}
 
@@ -189,10 +192,11 @@
         socket.off('close', onClose);
         signal?.removeEventListener('abort', onAbort);
       };
-      const fail = (why: string) => {
+      const fail = (why: string) => failWith(new NoAnswer(why));
+      const failWith = (error: NoAnswer) => {
         done();
         socket.destroy();
-        reject(new NoAnswer(why));
+        reject(error);
       };
       const finish = (message: Message) => {
         done();
@@ -211,7 +215,10 @@
           const message = parser.push(data)[0];
           if (message) finish(message);
         } catch (error) {
-          fail((error as Error).message);
+          const { message } = error as Error;
+          failWith(
+            error instanceof BodyTooLarge ? new AnswerTooLarge(message) : new NoAnswer(message),
+          );
         }
       };
       const onClose = () => {
--- a/src/http/parser.ts
+++ b/src/http/parser.ts
@@ -22,6 +22,13 @@
   }
 }
 
+/** The body is larger than this side takes. */
+export class BodyTooLarge extends HttpError {
+  constructor() {
+    super(400, 'body too large');
+  }
+}
+
 export interface ParserLimits {
   /** Longest start or header line, in bytes. */
   line: number;
@@ -120,8 +127,7 @@
         const hex = (line.split(';', 1)[0] ?? '').trim();
         if (!/^[0-9a-fA-F]{1,8}$/.test(hex)) throw new HttpError(400, 'bad chunk size');
         this.need = Number.parseInt(hex, 16);
-        if (this.bodySize + this.need > this.limits.body)
-          throw new HttpError(400, 'body too large');
+        if (this.bodySize + this.need > this.limits.body) throw new BodyTooLarge();
         this.headerCount = 0;
         this.stage = this.need === 0 ? 'trailer' : 'chunkData';
         return false;
@@ -195,7 +201,7 @@
     if (length !== undefined) {
       if (!/^\d{1,15}$/.test(length)) throw new HttpError(400, 'bad content length');
       this.need = Number(length);
-      if (this.need > this.limits.body) throw new HttpError(400, 'body too large');
+      if (this.need > this.limits.body) throw new BodyTooLarge();
       if (this.need === 0) return true;
       this.stage = 'body';
       return false;
@@ -212,7 +218,7 @@
 
   private keep(part: Buffer): void {
     this.bodySize += part.length;
-    if (this.bodySize > this.limits.body) throw new HttpError(400, 'body too large');
+    if (this.bodySize > this.limits.body) throw new BodyTooLarge();
     this.chunks.push(Buffer.from(part));
   }
 
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -114,6 +114,21 @@
     this.held.delete(socket);
   }
 
+  /**
+   * More peers are heard than connections may be kept for. Those that come
+   * beyond that are served on connections that end with their reply: closing
+   * kept ones for them instead would in the end have every peer connect anew.
+   */
+  get isCrowded(): boolean {
+    const { maxConnections } = this.options;
+    const passing = Math.floor(maxConnections * PASSING_SHARE);
+    if (this.held.size <= maxConnections - passing) return false;
+    const now = Date.now();
+    for (const { since } of this.held.values())
+      if (since !== null) return now - since < this.options.spareMs;
+    return true;
+  }
+
   /** Gives up those whose time is over. */
   sweep(): void {
     const now = Date.now();
@@ -121,6 +136,9 @@
   }
 }
 
+/** This part of the connections is left to those that are not kept, while all others are in use. */
+const PASSING_SHARE = 0.15;
+
 /** Looks at time-outs in the shortest of them. */
 const SWEEPS = 4;
 
@@ -217,6 +235,7 @@
     open.moves(socket);
   };
   let arriving = false;
+  let isNew = true;
   for (let data = await arrivals.next(); data; data = await arrivals.next()) {
     if (!arriving) open.moves(socket);
     let messages: Message[];
@@ -237,7 +256,8 @@
         reply = { status: 500, body: { error: 'internal error' } };
       }
       if (socket.destroyed) return;
-      if (!request.keepAlive) return last(reply);
+      if (!request.keepAlive || (isNew && open.isCrowded)) return last(reply);
+      isNew = false;
       socket.write(encodeReply(reply, true));
       // A peer that never reads must not make us hold its replies.
       if (socket.writableLength > REQUEST_LIMITS.body * 2) return void socket.destroy();
--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -108,7 +108,7 @@
       case 3:
         if (w && this.pick(6) === 0) {
           this.workers.splice(this.workers.indexOf(w), 1);
-          this.c.machineGone(w.id, 'died');
+          this.c.machineGone(w.id, 'died', this.now);
           this.addWorker();
         }
         break;
--- a/test/renting.test.ts
+++ b/test/renting.test.ts
@@ -162,7 +162,7 @@
   assert.ok(first?.spot);
   for (let i = 0; i < 4; i++) r.refused(first, 10_000);
   assert.ok(r.plan(40_000).every((p) => !p.spot));
-  c.machineGone('n-1', 'died');
+  c.machineGone('n-1', 'died', 32_000);
   assert.ok(r.plan(32_001).some((p) => p.spot));
 });
 
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -126,7 +126,7 @@
   );
   const inheritedOnA = job.bound.size;
   // The rest is ready once the other machine is gone.
-  c.machineGone('n-2', 'returned');
+  c.machineGone('n-2', 'returned', 130);
   assert.equal(job.ready, 6 - 1 - job.bound.size);
   joined(c, new ScriptedWorker('n-3'), 140);
   assert.equal(round(c, 32, 140).started.length, 5 - inheritedOnA);
@@ -349,7 +349,7 @@
   joined(c, new ScriptedWorker('n-2'), 0);
   c.addJob(spec({ tasks: 8 }), 9, 0, false);
   assert.equal(round(c, 32, 0).started.length, 0);
-  c.machineGone('n-1', 'returned');
+  c.machineGone('n-1', 'returned', 0);
   assert.equal(round(c, 32, 0).started.length, 4);
   assert.equal(round(c, 32, 0).started.length, 0);
 });
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -46,7 +46,7 @@
   assert.equal(c.report(copy, true, 60_000), false);
   assert.equal(c.machines.get('n-1')?.lastReport, 300);
   assert.equal(job?.bound.get(0)?.state, 'running');
-  c.machineGone('n-1', 'returned');
+  c.machineGone('n-1', 'returned', 60_050);
   assert.equal(c.report(w.report(), true, 60_100), false);
   assert.equal(c.machines.size, 0);
 });
@@ -119,7 +119,7 @@
     beat(c, well, now);
     for (const x of r.returns(now)) {
       assert.deepEqual([x.machine.id, x.why], ['n-1', 'silent']);
-      c.machineGone(x.machine.id, 'returned');
+      c.machineGone(x.machine.id, 'returned', now);
       gone = now;
     }
   }
