--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -64,6 +64,8 @@
   rostering = false;
   /** Stands in the roster of an earlier leader and is neither confirmed nor gone. */
   inherited = false;
+  /** After the takeover it was asked directly and gave no answer. */
+  unanswered = false;
   /** Its reports come by way of another node: a cut keeps commands from it. */
   relayed = false;
   /** It lists tasks of jobs that are not known: what they use is in doubt. */
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -57,6 +57,8 @@
 
 /** Report intervals after a takeover in which a worker that can be reached has reported under the new token. */
 const CONFIRM_REPORTS = 2;
+/** The same for one that gave no answer to a direct question either: an interval with its jitter, and a redirection. */
+const UNANSWERED_REPORTS = 1.4;
 
 interface Refusal {
   until: number;
@@ -490,7 +492,7 @@
    */
   private holdersUp(now: number): Set<Machine> {
     const { cluster } = this;
-    const waitMs = cluster.timing.reportMs * CONFIRM_REPORTS;
+    const { reportMs } = cluster.timing;
     const late = new Map<string, Machine[]>();
     const up = new Map<string, number>();
     for (const m of cluster.machines.values()) {
@@ -506,7 +508,8 @@
     for (const [zone, machines] of late) {
       if (machines.length > Math.max(1, (up.get(zone) ?? 0) * MANY_SHARE)) continue;
       for (const m of machines) {
-        if (now - cluster.silentFrom(m) <= waitMs) continue;
+        const patience = m.unanswered ? UNANSWERED_REPORTS : CONFIRM_REPORTS;
+        if (now - cluster.silentFrom(m) <= reportMs * patience) continue;
         const key = classKey(m.typeName, m.zone, m.spot);
         const cpus = waiting.get(key) ?? this.inheritedCpusFor(m, now);
         waiting.set(key, cpus);
--- a/src/duties/commands.ts
+++ b/src/duties/commands.ts
@@ -113,6 +113,8 @@
         session = answer.report.session;
       }
     } catch (error) {
+      // Not having asked says nothing of the machine.
+      machine.unanswered = !(error instanceof NotTried);
       if (!signal.aborted)
         this.ctx.log.debug(
           { machine: machine.id, error: String((error as Error).message) },
--- a/src/duties/node.ts
+++ b/src/duties/node.ts
@@ -14,6 +14,7 @@
 import { Health } from './health.js';
 import { commandSockets, corePolicy, Leader } from './leader.js';
 import { Leadership } from './leadership.js';
+import { MemoryGuard, processMemory } from './memory.js';
 import { COUNTS_PER_STATUS, Peers } from './peers.js';
 import { Reports } from './reports.js';
 import { readTypes } from './types.js';
@@ -35,6 +36,7 @@
   private readonly reports: Reports;
   private readonly peers: Peers;
   private readonly health: Health;
+  private readonly memory: MemoryGuard;
   private leader: Leader | null = null;
 
   constructor(
@@ -74,6 +76,7 @@
       log,
       types: null,
     };
+    this.memory = new MemoryGuard(this.ctx, processMemory(platform.settings.quota.memory_mb));
     this.users = new Users(
       this.ctx,
       (id) => {
@@ -84,6 +87,7 @@
         this.leader?.cancelled(id, revision);
         return this.peers.announce(id, revision);
       },
+      () => this.memory.isShort || this.peers.leaderMemoryIsShort(),
     );
     this.leadership = new Leadership(this.ctx, async (term) => {
       const workers = new WorkerClient(timing.commandTimeoutMs, commandSockets(platform));
@@ -103,6 +107,7 @@
         term: this.leadership.highest,
         leading: this.leader !== null,
         stateOk: this.state.troubleSince === null,
+        memoryShort: this.memory.isShort,
         counts: this.leader?.counts(COUNTS_PER_STATUS) ?? [],
       }),
       onTerm: (term) => this.leadership.heardOf(term),
@@ -142,6 +147,7 @@
       this.learnTypes(signal),
       this.leadership.run(signal),
       this.peers.run(signal),
+      this.memory.run(signal),
     ]);
     this.state.close();
     this.cloud.close();
--- a/src/duties/peers.ts
+++ b/src/duties/peers.ts
@@ -102,6 +102,13 @@
     return this.counts.get(job) ?? null;
   }
 
+  /** The leader, as far as it is heard, has no memory for further jobs. */
+  leaderMemoryIsShort(): boolean {
+    for (const h of this.heard.values())
+      if (h.status.leading && h.status.memoryShort === true && this.fresh(h)) return true;
+    return false;
+  }
+
   /** A connected peer that the state service serves, as far as its last status tells. */
   served(): string | null {
     for (const [node, h] of this.heard)
--- a/src/duties/users.ts
+++ b/src/duties/users.ts
@@ -74,6 +74,8 @@
     private readonly counts: (id: string) => Counts | null,
     /** Has whoever leads stop the job before its user is told. */
     private readonly announce: (id: string, revision: number) => Promise<void>,
+    /** Whether this node or the leader has no memory for further jobs. */
+    private readonly memoryIsShort: () => boolean = () => false,
   ) {
     this.store = new JobStore(ctx);
     this.upstream = new Upstream(ctx, this.store);
@@ -137,6 +139,8 @@
       const submission = this.judge(json);
       if ('refusal' in submission) return (await this.knownReply(id)) ?? submission.refusal;
       const { spec, upstream } = submission;
+      if (this.memoryIsShort())
+        return (await this.knownReply(id)) ?? unavailable('no memory for further jobs');
       return upstream.length === 0
         ? await this.accept(spec, [], [])
         : await this.acceptDownstream(spec, upstream);
--- a/src/peer/net.ts
+++ b/src/peer/net.ts
@@ -14,6 +14,8 @@
   leading: boolean;
   /** The state service serves this node. */
   stateOk: boolean;
+  /** It has no memory for further jobs. Earlier versions do not say. */
+  memoryShort?: boolean;
   /** Done and running tasks of live jobs, from the leader, for display only. */
   counts: [job: string, done: number, running: number][];
 }
