--- a/src/core/cluster.ts
+++ b/src/core/cluster.ts
@@ -1,68 +1,27 @@
 import type { BitmapLayout } from './bitmap-layout.js';
 import { GoneMachines } from './gone-machines.js';
+import { InheritedMachines } from './inherited-machines.js';
 import { Job } from './job.js';
 import { type JobEnd, JobGraph } from './job-graph.js';
 import { type Binding, bindingKey, type Drain, Machine } from './machine.js';
-import {
-  EPSILON,
-  type JobSpec,
-  type ListedMachine,
-  type MachineReport,
-  type MachineType,
-  type Order,
-  type TaskReport,
-  type Team,
+import { neverSent, reportOrders, stopsOfEndedJobs } from './machine-orders.js';
+import type {
+  JobSpec,
+  ListedMachine,
+  MachineReport,
+  MachineType,
+  Order,
+  TaskReport,
+  Team,
 } from './model.js';
-import { allowed, type Batch, type Placed } from './placement.js';
+import type { Aims, CorePolicy, CoreTiming, Use } from './policy.js';
+import type { Batch } from './ready-list.js';
 import { Roster } from './roster.js';
+import { WorkEstimates } from './work-estimates.js';
 
 /** Tells why a larger decision was made; the duties write it to the log. */
 export type Note = (message: string, fields: Record<string, unknown>) => void;
 
-/** Figures of the settings that the core needs, in milliseconds. */
-export interface CoreTiming {
-  reportMs: number;
-  workerLeaseMs: number;
-  listProofMs: number;
-  silentMs: number;
-}
-
-export interface CorePolicy {
-  weights: { throughput: number; cost: number; locality: number };
-  waitSpread: number;
-  spread: number;
-  smoothBoots: number;
-  drainBoots: number;
-  idleBoots: number;
-  bootPatience: number;
-  backoffBoots: number;
-  sickJobs: number;
-  sickFailures: number;
-  faultyMachines: number;
-  machineStarts: number;
-}
-
-/** A class's aims, from the settings' objectives. */
-export interface ClassAims {
-  /** Tasks should start within each of these. */
-  waits: number[];
-  /** Jobs should be done within each of these. */
-  finishes: number[];
-  /** Jobs should be done within each of these multiples of their deadline. */
-  deadlines: number[];
-}
-
-export interface Aims {
-  classes: Map<string, ClassAims>;
-  /** Work within its team's guarantee should start within this. */
-  guaranteeS: number | null;
-}
-
-export interface Use {
-  cpus: number;
-  gpus: number;
-}
-
 /** What a job needs, as its record tells. */
 export interface UpstreamList {
   ids: readonly string[];
@@ -76,21 +35,10 @@
 
 /** Attempts rise across leaders: the term is the high part. */
 const ATTEMPTS_PER_TERM = 2 ** 28;
-/** Keeps an answer's one line well below the protocol's 64 KiB. */
-const ORDERS_PER_ANSWER = 250;
 /** A machine that is gone is remembered for this many times as long as the list may still show it. */
 const GONE_LIST_PROOFS = 10;
 /** A page of the roster, unless the settings say otherwise. */
 const DEFAULT_PAGE_BYTES = 4096;
-/** How near its latest start makes work pressing, in lengths of its tasks: in that time most of all room comes free. */
-const LOOK_AHEAD = 1.5;
-/** The longest task of an array, and the owner's estimate being off, in estimates. */
-const LONGEST = 1.5;
-/** What an arrival adds to the mean size of its class's jobs. */
-const SIZE_RATE = 0.05;
-/** A later fence is waited for by this many tasks, or for this part of a worker's lease, before it is raised: each raise costs the worker a report. */
-const FENCE_TASKS = 16;
-const FENCE_LEASES = 0.25;
 /** Intervals without a report, with their jitter, that show one to be missed. */
 const MISSED_REPORTS = 1.5;
 /** For this part of a report interval after it was late, a leader counts as behind. */
@@ -107,9 +55,8 @@
 export class Cluster {
   readonly jobs = new Map<string, Job>();
   /** Which jobs wait for which others. */
-  readonly graph = new JobGraph(this.jobs, {
-    longestS: (job) => this.estimateS(job.spec) * LONGEST,
-  });
+  readonly graph: JobGraph;
+  readonly estimates: WorkEstimates;
   readonly machines = new Map<string, Machine>();
   readonly teamUse = new Map<string, Use>();
   readonly types = new Map<string, MachineType>();
@@ -119,12 +66,8 @@
   /** Keys of ended jobs' chunks that nobody needs. */
   readonly cleanup = new Set<string>();
   private readonly strayTasks = new Map<string, TaskReport[]>();
-  /** How far owners' estimates are off, by class: actual over estimated. */
-  private readonly ratios = new Map<string, number>();
-  /** Tasks of a job on average, by class. */
-  private readonly sizes = new Map<string, number>();
   /** Something happened that may let a task be placed. */
-  stirred = true;
+  roundDue = true;
   /** Room within a team's limit that is kept for the first task of a job that has waited for too long. */
   readonly keptRoom = new Map<string, Use>();
   /** What the last round found no machine for, in its order. */
@@ -132,13 +75,12 @@
   /** By zone: when it was last heard, and since when without a gap in which all of it was silent. */
   readonly heard = new Map<string, { last: number; since: number }>();
   /** Machines with orders that have not left. */
-  readonly toTell = new Set<Machine>();
+  readonly pendingCommands = new Set<Machine>();
   /** Machines that may be deaf and are asked whether they hear commands. */
-  readonly toProbe = new Set<Machine>();
+  readonly pendingProbes = new Set<Machine>();
   /** Machines that list unknown tasks. */
   private readonly strayHolders = new Set<Machine>();
-  /** How many machines of each kind and place are inherited and neither confirmed nor gone. */
-  private readonly inheritedKinds = new Map<string, { like: Placed; count: number }>();
+  readonly inherited = new InheritedMachines();
   /** When this leader was last seen to be late itself. */
   private behindAt = Number.NEGATIVE_INFINITY;
   /** Time of day less steady time, for ages of jobs. */
@@ -161,6 +103,8 @@
     readonly note: Note,
     rosterPageBytes = DEFAULT_PAGE_BYTES,
   ) {
+    this.estimates = new WorkEstimates(aims);
+    this.graph = new JobGraph(this.jobs, this.estimates);
     this.roster = new Roster(term, rosterPageBytes);
     this.gone = new GoneMachines(timing.listProofMs * GONE_LIST_PROOFS);
   }
@@ -189,9 +133,8 @@
     job.otherKeys.push(...upstream.keys);
     if (upstream.unread) this.graph.postpone(job);
     else this.graph.link(job, upstream.ids);
-    const size = this.sizes.get(spec.jobClass) ?? spec.tasks;
-    this.sizes.set(spec.jobClass, size + (spec.tasks - size) * SIZE_RATE);
-    this.stirred = true;
+    this.estimates.arrived(spec);
+    this.roundDue = true;
     return job;
   }
 
@@ -199,7 +142,7 @@
   linkUnread(job: Job, upstream: readonly string[]): void {
     if (job.over) return;
     this.graph.linkUnread(job, upstream);
-    this.stirred = true;
+    this.roundDue = true;
   }
 
   /**
@@ -208,7 +151,7 @@
    */
   endJob(id: string, end: JobEnd | null): void {
     this.graph.ended(id, end);
-    this.stirred = true;
+    this.roundDue = true;
     const job = this.jobs.get(id);
     if (!job) return;
     job.over = true;
@@ -221,7 +164,7 @@
     }
     for (const waiting of job.dirty.values()) for (const b of waiting) b.settled = true;
     job.dirty.clear();
-    this.stirred = true;
+    this.roundDue = true;
   }
 
   /** The job's cancellation is durable at this revision, which the news of jobs may not have reached. */
@@ -242,68 +185,6 @@
     return now + this.wallOffset - job.eligibleAt;
   }
 
-  /** The shortest wait that the class's aims allow; null when none of them is about waiting. */
-  waitAimS(jobClass: string): number | null {
-    const waits = this.aims.classes.get(jobClass)?.waits ?? [];
-    return waits.length > 0 ? Math.min(...waits) : null;
-  }
-
-  /**
-   * What leaving the job to wait is about to cost, for each CPU second that it
-   * needs. Each of its class's aims that it can still meet counts, and the
-   * more the nearer the latest start for it; what it can't meet any more
-   * costs nothing. Aims on waiting count tasks, the others whole jobs.
-   */
-  pressure(job: Job, now: number): number {
-    const { spec, ready } = job;
-    const aims = this.aims.classes.get(spec.jobClass);
-    if (!aims && !job.goal) return 0;
-    const age = this.ageMs(job, now) / 1000;
-    const estimate = this.estimateS(spec);
-    const longest = estimate * LONGEST;
-    const near = (leftS: number) => (leftS >= 0 ? Math.exp(-leftS / (estimate * LOOK_AHEAD)) : 0);
-    let whole = 0;
-    for (const s of aims?.finishes ?? []) whole += near(s - longest - age);
-    for (const leftS of this.deadlinesLeftS(job, now)) whole += near(leftS - longest);
-    let tasks = 0;
-    for (const s of aims?.waits ?? []) tasks += near(s - age);
-    const usual = this.sizes.get(spec.jobClass) ?? spec.tasks;
-    return (whole + (tasks * ready) / usual) / Math.max(EPSILON, ready * spec.cpus * estimate);
-  }
-
-  /**
-   * Seconds until the job has to be done for each aim on deadlines of the job
-   * that it serves, its own or the last of its pipeline. Deadlines count from
-   * that job's submission, however long it waits for others.
-   */
-  private deadlinesLeftS(job: Job, now: number): number[] {
-    if (!job.goal) return [];
-    const { job: last, restS } = job.goal;
-    const deadlineS = last.spec.deadlineS ?? Number.POSITIVE_INFINITY;
-    const age = (now + this.wallOffset - last.acceptedAt) / 1000;
-    const aims = this.aims.classes.get(last.spec.jobClass);
-    return (aims?.deadlines ?? []).map((times) => deadlineS * times - restS - age);
-  }
-
-  estimateS(spec: JobSpec): number {
-    return Math.max(0.5, spec.estimateS * (this.ratios.get(spec.jobClass) ?? 1));
-  }
-
-  remainingS(b: Binding, now: number): number {
-    const estimate = this.estimateS(b.job.spec);
-    if (b.runningSince === null) return estimate;
-    // A task that has outrun its estimate is expected to need a part of it more.
-    return Math.max(estimate - (now - b.runningSince) / 1000, estimate * 0.2);
-  }
-
-  private learn(b: Binding, now: number): void {
-    const spec = b.job.spec;
-    if (b.runningSince === null || spec.estimateS <= 0) return;
-    const seen = Math.min(5, Math.max(0.2, (now - b.runningSince) / 1000 / spec.estimateS));
-    const old = this.ratios.get(spec.jobClass) ?? 1;
-    this.ratios.set(spec.jobClass, old + (seen - old) * 0.05);
-  }
-
   // Machines
 
   machine(
@@ -344,29 +225,7 @@
     m.rostered = true;
     m.lastReport = now;
     m.upAt = now;
-    if (m.inherited) return;
-    m.inherited = true;
-    const key = `${type}|${zone}|${spot}`;
-    const kind = this.inheritedKinds.get(key) ?? {
-      like: { typeName: type, zone, spot },
-      count: 0,
-    };
-    kind.count++;
-    this.inheritedKinds.set(key, kind);
-  }
-
-  private settleInherited(m: Machine): void {
-    if (!m.inherited) return;
-    m.inherited = false;
-    const key = `${m.typeName}|${m.zone}|${m.spot}`;
-    const kind = this.inheritedKinds.get(key);
-    if (kind && --kind.count === 0) this.inheritedKinds.delete(key);
-  }
-
-  /** A machine that is neither confirmed nor gone may hold tasks of such a job. */
-  mayBeHeld(spec: JobSpec): boolean {
-    for (const { like } of this.inheritedKinds.values()) if (allowed(like, spec)) return true;
-    return false;
+    this.inherited.add(m);
   }
 
   /** Proof that the machine and all on it are gone. */
@@ -376,15 +235,15 @@
     if (!m) return;
     this.onGone(m);
     const lost = this.releaseAll(m);
-    this.settleInherited(m);
+    this.inherited.settle(m);
     this.machines.delete(id);
-    this.toTell.delete(m);
-    this.toProbe.delete(m);
+    this.pendingCommands.delete(m);
+    this.pendingProbes.delete(m);
     this.strayTasks.delete(id);
     this.strayHolders.delete(m);
     this.rosterPuts.delete(m);
     if (m.rostered || m.rostering) this.roster.gone(id);
-    this.stirred = true;
+    this.roundDue = true;
     this.note('machine gone', { machine: id, why, drain: m.drain, lostTasks: lost });
   }
 
@@ -414,7 +273,7 @@
     b.machine.remove(b);
     b.job.unbind(b, until);
     this.settleIdle(b.machine, b.boundAt);
-    this.stirred = true;
+    this.roundDue = true;
   }
 
   private settleIdle(m: Machine, now: number): void {
@@ -432,7 +291,7 @@
   /** Has the task stopped; repeated until its exit is reported. */
   stop(b: Binding, graceS: number): void {
     b.stop = { graceS, told: false };
-    this.toTell.add(b.machine);
+    this.pendingCommands.add(b.machine);
   }
 
   /** Binds a ready task to a machine; the start leaves with the next answer or command. */
@@ -442,7 +301,7 @@
     m.add(b);
     m.touchImage(job.spec);
     job.bind(b);
-    this.toTell.add(m);
+    this.pendingCommands.add(m);
     return b;
   }
 
@@ -468,13 +327,7 @@
    * every team's limit until it is cleared up.
    */
   doubt(): Use {
-    const d = { cpus: 0, gpus: 0 };
-    // Nothing is known to be bound on an inherited machine before it is confirmed.
-    for (const { like, count } of this.inheritedKinds.values()) {
-      const type = this.types.get(like.typeName);
-      d.cpus += (type?.cpus ?? 0) * count;
-      d.gpus += (type?.gpus ?? 0) * count;
-    }
+    const d = this.inherited.capacity(this.types);
     for (const m of this.strayHolders) {
       d.cpus += (m.type?.cpus ?? 0) - m.cpus;
       d.gpus += (m.type?.gpus ?? 0) - m.gpus;
@@ -504,7 +357,7 @@
         const lost = this.releaseAll(m);
         this.note('new session', { machine: m.id, session: r.session, lostTasks: lost });
         // Its reports come, but no answer renewed its lease: it has to show that it hears us.
-        this.unheard(m, now);
+        this.markUnresponsive(m, now);
       }
       m.session = r.session;
       m.confirmed = false;
@@ -530,8 +383,8 @@
     // Under an older token commands of an earlier leader might still be executed; from here on the list is whole.
     if (!m.confirmed) {
       m.confirmed = true;
-      this.settleInherited(m);
-      this.stirred = true;
+      this.inherited.settle(m);
+      this.roundDue = true;
     }
     this.reconcile(m, r, beat, now);
     if (noticed) this.clear(m, r.noticeS ?? 0, now);
@@ -546,7 +399,7 @@
     for (const b of m.bindings.values()) {
       if (b.state === 'exited' || b.state === 'assigned' || b.stop) continue;
       const { checkpointS, saveS } = b.job.spec;
-      const left = this.remainingS(b, now);
+      const left = this.estimates.remainingS(b, now);
       if (checkpointS > 0 && saveS < noticeS && left > noticeS) this.stop(b, saveS);
       else if (checkpointS === 0 && left > noticeS * HOPELESS) this.stop(b, 0);
     }
@@ -601,7 +454,7 @@
         if (b.state !== 'exited') this.exit(b, t, now);
         continue;
       }
-      if (b.state === 'assigned') this.hears(m);
+      if (b.state === 'assigned') this.markResponsive(m);
       if (t.state === 'running' && b.runningSince === null) {
         b.runningSince = now;
         m.touchImage(b.job.spec);
@@ -628,7 +481,7 @@
         lost = true;
       }
     }
-    if (lost && ++m.lostAnswers >= LOST_ANSWERS) this.unheard(m, now);
+    if (lost && ++m.lostAnswers >= LOST_ANSWERS) this.markUnresponsive(m, now);
   }
 
   /**
@@ -636,16 +489,16 @@
    * One loss is ordinary; from the second in a row on it gets no work until it
    * has answered a command: its reports alone would draw ever more starts.
    */
-  unheard(m: Machine, now: number): void {
-    m.deafSince ??= now;
+  markUnresponsive(m: Machine, now: number): void {
+    m.unresponsiveSince ??= now;
   }
 
-  hears(m: Machine): void {
+  markResponsive(m: Machine): void {
     m.lostAnswers = 0;
-    this.toProbe.delete(m);
-    if (m.deafSince === null) return;
-    m.deafSince = null;
-    this.stirred = true;
+    this.pendingProbes.delete(m);
+    if (m.unresponsiveSince === null) return;
+    m.unresponsiveSince = null;
+    this.roundDue = true;
   }
 
   /** A task that an earlier leader started, or that was taken for lost. */
@@ -667,7 +520,7 @@
     this.use(b, -1);
     m.exited(b);
     b.settled = true;
-    this.stirred = true;
+    this.roundDue = true;
     if (!m.busy) m.idleSince = now;
     switch (t.cause) {
       case 'done':
@@ -690,7 +543,7 @@
 
   private done(b: Binding, now: number): void {
     const { job, machine: m } = b;
-    this.learn(b, now);
+    this.estimates.learn(b, now);
     job.failedOn.clear();
     job.failures = 0;
     job.succeeded = true;
@@ -736,98 +589,19 @@
     job.unbind(b, now + reportMs * 0.5 * Math.min(4, job.failedOn.size));
   }
 
+  // Orders
+
   /**
    * Whatever else an answer may order: it renews the lease, so it stops what
-   * the report shows of jobs that have ended. Every task was started by this
-   * leader or an earlier one, so its job is known here or has ended.
+   * the report shows of jobs that have ended.
    */
   endsOf(r: MachineReport): Order[] {
-    const out: Order[] = [];
-    for (const t of r.tasks) {
-      if (out.length >= ORDERS_PER_ANSWER) break;
-      if (t.state === 'exited' || this.jobs.has(t.job)) continue;
-      out.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
-    }
-    return out;
+    return stopsOfEndedJobs(r, this.jobs);
   }
 
   /** The orders for a machine that has just reported, in the order of their execution. */
   orders(m: Machine): Order[] {
-    const out: Order[] = [];
-    if (!m.confirmed) return out;
-    // Ends of jobs come first: where an answer is full, what runs on does so under a renewed lease.
-    for (const b of m.bindings.values())
-      if (b.job.over && b.stop && b.state !== 'exited' && b.state !== 'assigned')
-        out.push({ op: 'stop', job: b.job.spec.id, index: b.index, attempt: b.attempt, graceS: 0 });
-    for (const t of this.strayTasks.get(m.id) ?? []) {
-      if (out.length >= ORDERS_PER_ANSWER) break;
-      const base = { job: t.job, index: t.index, attempt: t.attempt };
-      if (t.state === 'exited') out.push({ op: 'forget', ...base });
-      else out.push({ op: 'stop', ...base, graceS: 0 });
-    }
-    for (const b of m.bindings.values()) {
-      if (out.length >= ORDERS_PER_ANSWER) break;
-      const base = { job: b.job.spec.id, index: b.index, attempt: b.attempt };
-      if (b.state === 'exited') {
-        if (b.settled && b.direct === null) out.push({ op: 'forget', ...base });
-      } else if (b.state === 'assigned') {
-        if (b.job.over) continue;
-        out.push({ op: 'start', ...base });
-        b.sentSeq = m.seq;
-      } else if (b.stop && !b.job.over && (b.state !== 'saving' || b.stop.graceS === 0)) {
-        out.push({ op: 'stop', ...base, graceS: b.stop.graceS });
-      }
-    }
-    return out;
-  }
-
-  /**
-   * Raises the machine's fence when what left by direct commands has to be
-   * over for good: attempts to be forgotten, which a copy of the command would
-   * start again, and starts whose command had no answer. The answer under the
-   * higher token has every earlier command refused from then on, copies too.
-   */
-  fenceOff(m: Machine, now: number): void {
-    if (!m.confirmed || m.fence > m.fenced) return;
-    let waiting = 0;
-    for (const b of m.bindings.values()) {
-      if (b.direct === null) continue;
-      const unanswered = b.state === 'assigned' && now - b.boundAt > this.timing.reportMs;
-      if (unanswered || (b.state === 'exited' && b.settled)) waiting++;
-    }
-    if (waiting === 0) {
-      m.fenceSince = null;
-      return;
-    }
-    m.fenceSince ??= now;
-    const waited = now - m.fenceSince >= this.timing.workerLeaseMs * FENCE_LEASES;
-    if (waiting < FENCE_TASKS && !waited) return;
-    m.fence++;
-    m.fenceSince = null;
-  }
-
-  // Commands sent straight to a machine
-
-  /** What a machine is to be told at once; starts are in doubt from here on until they are answered. */
-  urgent(m: Machine): { orders: Order[]; starts: Binding[] } {
-    const orders: Order[] = [];
-    const starts: Binding[] = [];
-    // Behind a cut the orders go with the answers to its reports.
-    if (!m.confirmed || m.relayed) return { orders, starts };
-    for (const b of m.bindings.values()) {
-      if (orders.length >= ORDERS_PER_ANSWER) break;
-      const base = { job: b.job.spec.id, index: b.index, attempt: b.attempt };
-      if (b.state === 'assigned') {
-        if (b.job.over || !neverSent(b)) continue;
-        b.direct = m.fence;
-        starts.push(b);
-        orders.push({ op: 'start', ...base });
-      } else if (b.stop && !b.stop.told && b.state !== 'exited') {
-        b.stop.told = true;
-        orders.push({ op: 'stop', ...base, graceS: b.stop.graceS });
-      }
-    }
-    return { orders, starts };
+    return reportOrders(m, this.strayTasks.get(m.id) ?? []);
   }
 
   /** The machine answered the command with its report `seq`. */
@@ -843,11 +617,6 @@
     }
   }
 
-  /** The command never left: the starts go with the next report's answer. */
-  unsent(starts: Binding[]): void {
-    for (const b of starts) b.direct = null;
-  }
-
   // The cloud's list
 
   /** A whole list, asked for at `askedAt`. */
@@ -884,8 +653,3 @@
     }
   }
 }
-
-/** Bound, but its start has left by no way. */
-function neverSent(b: Binding): boolean {
-  return b.state === 'assigned' && b.sentSeq === null && b.direct === null;
-}
--- a/src/core/flush.ts
+++ b/src/core/flush.ts
@@ -181,7 +181,7 @@
       if (done) m.rostered = true;
       else if (!m.rostered) cluster.rosterPuts.add(m);
     }
-    if (done) cluster.stirred = true;
+    if (done) cluster.roundDue = true;
   };
   return {
     conditions: w.version === null ? [] : [{ key, version: w.version }],
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -79,7 +79,7 @@
   /** Answers in a row whose starts showed no effect. */
   lostAnswers = 0;
   /** Since when nothing shows that it hears us, though its reports arrive; null while it does. */
-  deafSince: number | null = null;
+  unresponsiveSince: number | null = null;
   upAt: number | null = null;
   /** No need was laid on it: it gets new work only when nothing else has room, so that it empties and can go back. */
   surplus = false;
@@ -185,3 +185,8 @@
 export function fitsType(type: MachineType, spec: JobSpec): number {
   return fits(type.cpus, type.gpus, type.memoryGb, spec);
 }
+
+/** Names what a machine is for the cloud: its type, zone and kind. */
+export function kindKey(type: string, zone: string, spot: boolean): string {
+  return `${type}|${zone}|${spot}`;
+}
--- /dev/null
+++ b/src/core/ready-list.ts
@@ -0,0 +1,125 @@
+import type { Cluster } from './cluster.js';
+import type { Job } from './job.js';
+import { EPSILON, type JobSpec } from './model.js';
+import type { Use } from './policy.js';
+
+/** Every accepted job, the largest ones too, begins within this, whatever fresher work could still meet (protocol). */
+const BEGIN_WITHIN_MS = 240_000;
+/** From this part of it on a job that has not begun goes first with one task. */
+const AGED = 0.5;
+/** Below this step of waitingCost no aim is near enough to matter. */
+const LEAST_COST_STEP = -50;
+
+/** Ready tasks of like image and request, in the order of the pool. */
+export interface Batch {
+  spec: JobSpec;
+  /** The rank of its jobs, which may be that of a job that needs them. */
+  rank: number;
+  guaranteed: boolean;
+  /** What waiting costs its jobs, in steps of a factor of two. */
+  costStep: number;
+  /** The first task of a job that has waited for too long. */
+  aged: boolean;
+  jobs: Job[];
+  count: number;
+}
+
+/**
+ * Ready: accepted, not over, not held back, and every job upstream durably
+ * done. A task of an inherited job that shows on no confirmed
+ * machine may run on an unconfirmed one, so it waits for the last of those
+ * that its job allows.
+ */
+export function isReady(cluster: Cluster, job: Job, now: number): boolean {
+  return wantsRoom(job, now) && !(job.inherited && cluster.inherited.mayHold(job.spec));
+}
+
+/** The same but for what an unconfirmed machine may hold: it will need room all the same. */
+export function wantsRoom(job: Job, now: number): boolean {
+  if (job.delayed > 0) job.wake(now);
+  return job.ready > 0 && !job.over && !job.isWaiting && job.heldUntil <= now;
+}
+
+/**
+ * Marks new jobs that fit their team's guarantee together with the team's
+ * earlier unfinished ones. What an earlier leader saw of an inherited job is
+ * not known: past the aim on guaranteed work it counts as not having fitted.
+ * A job that waits for others holds no part of it until it may run.
+ */
+function markGuaranteed(cluster: Cluster, byArrival: Job[], now: number): void {
+  const sums = new Map<string, Use>();
+  for (const job of byArrival) {
+    if (job.isWaiting) continue;
+    const { team, cpus, gpus, tasks } = job.spec;
+    const sum = sums.get(team) ?? { cpus: 0, gpus: 0 };
+    sum.cpus += cpus * tasks;
+    sum.gpus += gpus * tasks;
+    sums.set(team, sum);
+    if (job.guaranteed !== null) continue;
+    const t = cluster.teams.get(team);
+    const late =
+      job.inherited &&
+      cluster.aims.guaranteeS !== null &&
+      cluster.ageMs(job, now) > cluster.aims.guaranteeS * 1000;
+    job.guaranteed =
+      !late && t !== undefined && sum.cpus <= t.cpus + EPSILON && sum.gpus <= t.gpus + EPSILON;
+  }
+}
+
+function likeKey(job: Job, costStep: number): string {
+  const s = job.spec;
+  return `${costStep}|${job.rank}|${job.guaranteed}|${s.team}|${s.image}|${s.cpus}|${s.gpus}|${s.memoryGb}|${s.types}|${s.zone}|${s.spot}|${s.oneZone || s.spread ? s.id : ''}`;
+}
+
+/**
+ * One pooled ready list: rank first, then work within its team's guarantee,
+ * then what waiting is about to cost. When more is asked than can be done,
+ * strict arrival would make everybody late, and so would letting only what
+ * has missed nothing pass: work that waited a little would miss every later
+ * aim as well. Jobs that can't meet any aim any more come last, the one with
+ * the least left first. Nothing starves by that: a job that has not begun for
+ * long goes before everything with one task.
+ */
+export function readyBatches(cluster: Cluster, now: number): Batch[] {
+  const byArrival = [...cluster.jobs.values()].sort((a, b) => a.version - b.version);
+  markGuaranteed(cluster, byArrival, now);
+  const ready: { job: Job; waitingCost: number; work: number }[] = [];
+  const aged: Batch[] = [];
+  for (const job of byArrival) {
+    if (!isReady(cluster, job, now)) continue;
+    const waitingCost = cluster.estimates.waitingCost(job, now + cluster.wallOffset);
+    const work = job.ready * job.spec.cpus * cluster.estimates.estimateS(job.spec);
+    if (!job.begun && cluster.ageMs(job, now) > BEGIN_WITHIN_MS * AGED)
+      aged.push(batchOf(job, LEAST_COST_STEP, true));
+    else ready.push({ job, waitingCost, work });
+  }
+  ready.sort((a, b) => b.waitingCost - a.waitingCost || a.work - b.work);
+  const batches = new Map<string, Batch>();
+  for (const { job, waitingCost } of ready) {
+    const costStep = Math.max(LEAST_COST_STEP, Math.ceil(Math.log2(waitingCost)));
+    const key = likeKey(job, costStep);
+    const batch = batches.get(key);
+    if (batch) {
+      batch.jobs.push(job);
+      batch.count += job.ready;
+    } else batches.set(key, batchOf(job, costStep, false));
+  }
+  // The sort is stable: beyond this, the order of the jobs decides.
+  const rest = [...batches.values()].sort(
+    (a, b) =>
+      a.rank - b.rank || Number(b.guaranteed) - Number(a.guaranteed) || b.costStep - a.costStep,
+  );
+  return [...aged, ...rest];
+}
+
+function batchOf(job: Job, costStep: number, aged: boolean): Batch {
+  return {
+    spec: job.spec,
+    rank: job.rank,
+    guaranteed: job.guaranteed === true,
+    costStep,
+    aged,
+    jobs: [job],
+    count: aged ? 1 : job.ready,
+  };
+}
--- a/src/core/renting.ts
+++ b/src/core/renting.ts
@@ -1,7 +1,8 @@
 import type { Cluster } from './cluster.js';
-import { type Drain, fitsType, type Machine } from './machine.js';
+import { fitsType, kindKey, type Machine } from './machine.js';
 import { type JobSpec, type MachineType, typeFits } from './model.js';
-import { allowed, wantsRoom } from './placement.js';
+import { wantsRoom } from './ready-list.js';
+import { type MachineReturn, Returns } from './returns.js';
 
 export interface RentPlan {
   type: string;
@@ -40,26 +41,15 @@
 /** Boots usually take up to one and a half times the type's time. */
 const LATE_BOOT = 2;
 
-/** Missed reports, with their jitter, that show a machine taken whose notice has run out. */
-const NOTICE_REPORTS = 1.5;
-
 /** The protocol's bound on machines in one rental. */
 const RENT_LIMIT = 50;
 
 /** A need of no more machines than this is not worth dividing between zones. */
 const RENT_SHARE = 4;
 
-/** When more than this part of a fleet or zone seems deaf or dead at once, it is the way there that is broken. */
-const MANY_SHARE = 0.2;
-
 /** The pause after a refusal doubles this often. */
 const MOST_DOUBLINGS = 2;
 
-/** Report intervals after a takeover in which a worker that can be reached has reported under the new token. */
-const CONFIRM_REPORTS = 2;
-/** The same for one that gave no answer to a direct question either: an interval with its jitter, and a redirection. */
-const UNANSWERED_REPORTS = 1.4;
-
 interface Refusal {
   until: number;
   times: number;
@@ -100,7 +90,11 @@
   /** Machines of each type, zone and kind when the plan was begun. */
   private readonly machineCounts = new Map<string, number>();
 
-  constructor(private readonly cluster: Cluster) {}
+  private readonly surplusMachines: Returns;
+
+  constructor(private readonly cluster: Cluster) {
+    this.surplusMachines = new Returns(cluster);
+  }
 
   /** A job has arrived: its work counts towards what is expected. */
   arrived(spec: JobSpec): void {
@@ -137,7 +131,7 @@
   }
 
   refused(plan: RentPlan, now: number): void {
-    const key = classKey(plan.type, plan.zone, plan.spot);
+    const key = kindKey(plan.type, plan.zone, plan.spot);
     const old = this.refusals.get(key);
     const times = old ? Math.min(old.times + 1, MOST_DOUBLINGS) : 0;
     const bootMs = (this.cluster.types.get(plan.type)?.bootS ?? 30) * 1000;
@@ -149,7 +143,7 @@
 
   /** A machine of this kind has gone, so there may be capacity again: it is worth a try soon. */
   freed(m: Machine, now: number): void {
-    const refusal = this.refusals.get(classKey(m.typeName, m.zone, m.spot));
+    const refusal = this.refusals.get(kindKey(m.typeName, m.zone, m.spot));
     if (!refusal || !m.type) return;
     refusal.times = 0;
     const soon = now + m.type.bootS * 1000 * this.cluster.policy.backoffBoots;
@@ -157,7 +151,7 @@
   }
 
   granted(plan: RentPlan): void {
-    this.refusals.delete(classKey(plan.type, plan.zone, plan.spot));
+    this.refusals.delete(kindKey(plan.type, plan.zone, plan.spot));
   }
 
   private bootS(): number {
@@ -174,7 +168,7 @@
   private holdS(spec: JobSpec): number {
     let rate = 0;
     for (const t of this.cluster.types.values()) rate = Math.max(rate, t.fetchGbPerS);
-    return this.cluster.estimateS(spec) + (rate > 0 ? (spec.imageGb / rate) * 0.3 : 0);
+    return this.cluster.estimates.estimateS(spec) + (rate > 0 ? (spec.imageGb / rate) * 0.3 : 0);
   }
 
   private decay(now: number): void {
@@ -198,7 +192,7 @@
     const plans: RentPlan[] = [];
     const used = new Set<Machine>();
     for (const need of this.needs(now)) {
-      const left = this.lay(need, supply, used);
+      const left = this.allocate(need, supply, used);
       if (left > 0) this.rentFor(need, left, supply, plans, now);
     }
     for (const m of cluster.machines.values()) m.surplus = false;
@@ -209,7 +203,7 @@
   private countMachines(): void {
     this.machineCounts.clear();
     for (const m of this.cluster.machines.values()) {
-      const key = classKey(m.typeName, m.zone, m.spot);
+      const key = kindKey(m.typeName, m.zone, m.spot);
       this.machineCounts.set(key, (this.machineCounts.get(key) ?? 0) + 1);
     }
   }
@@ -246,7 +240,7 @@
       else if (cluster.graph.isNext(job)) add(job.spec, job.ready, this.holdS(job.spec), false);
       if (job.bound.size === 0) continue;
       let boundS = 0;
-      for (const b of job.bound.values()) boundS += cluster.remainingS(b, now);
+      for (const b of job.bound.values()) boundS += cluster.estimates.remainingS(b, now);
       add(job.spec, 1, boundS, false);
     }
     const out: Need[] = [];
@@ -292,12 +286,12 @@
 
   /** How many standard deviations of room the class's aims are worth. */
   private spreads(spec: JobSpec): number {
-    const waits = this.cluster.waitAimS(spec.jobClass) !== null;
+    const waits = this.cluster.estimates.waitAimS(spec.jobClass) !== null;
     return waits ? this.cluster.policy.waitSpread : this.cluster.policy.spread;
   }
 
   /** Lays a need over the supply; returns the slots that found no place. */
-  private lay(need: Need, supply: Supply[], used: Set<Machine>): number {
+  private allocate(need: Need, supply: Supply[], used: Set<Machine>): number {
     let left = need.slots;
     for (const s of supply) {
       if (left <= 1e-9) break;
@@ -387,9 +381,9 @@
       for (const zone of type.zones) {
         for (const spot of [true, false]) {
           if (!typeAllowed(type, zone, spot, spec)) continue;
-          const refusal = this.refusals.get(classKey(type.name, zone, spot));
+          const refusal = this.refusals.get(kindKey(type.name, zone, spot));
           if (refusal && refusal.until > now) continue;
-          const here = this.machineCounts.get(classKey(type.name, zone, spot)) ?? 0;
+          const here = this.machineCounts.get(kindKey(type.name, zone, spot)) ?? 0;
           out.push({ type, zone, spot, price: (spot ? type.spotPrice : type.price) / k, here });
         }
       }
@@ -398,151 +392,8 @@
   }
 
   /** Machines that should go back to the cloud now, with the reason. */
-  returns(now: number): { machine: Machine; why: Drain }[] {
-    const { cluster } = this;
-    const out: { machine: Machine; why: Drain }[] = [];
-    const deafMayGo = this.deafAreFew();
-    const manySilent = this.zonesWithManySilent(now);
-    const holdsUp = this.holdersUp(now);
-    for (const m of cluster.machines.values()) {
-      const bootMs = (m.type?.bootS ?? 60) * 1000;
-      if (m.upAt === null) {
-        if (now - m.rentedAt > bootMs * cluster.policy.bootPatience)
-          out.push({ machine: m, why: 'no boot' });
-        continue;
-      }
-      if (m.missing || this.taken(m, now)) {
-        out.push({ machine: m, why: 'missing' });
-        continue;
-      }
-      if (holdsUp.has(m)) {
-        out.push({ machine: m, why: 'silent' });
-        continue;
-      }
-      const silent = now - cluster.silentFrom(m);
-      if (silent > cluster.timing.silentMs) {
-        if (this.deadLongEnough(m, manySilent, now)) out.push({ machine: m, why: 'silent' });
-        continue;
-      }
-      if (m.drain === 'sick') out.push({ machine: m, why: 'sick' });
-      else if (deafMayGo && this.deafTooLong(m, now)) out.push({ machine: m, why: 'deaf' });
-      else if (m.bindings.size > 0 || m.inherited || m.strays) continue;
-      else if (m.drain !== null) out.push({ machine: m, why: m.drain });
-      else if (m.confirmed && m.surplus && now - m.idleSince > bootMs * cluster.policy.idleBoots)
-        out.push({ machine: m, why: 'idle' });
-    }
-    return out;
-  }
-
-  /** It hears nothing although its reports arrive: what it runs and holds can only be had back by a return. */
-  private deafTooLong(m: Machine, now: number): boolean {
-    return (
-      m.deafSince !== null && !m.relayed && now - m.deafSince > this.cluster.timing.workerLeaseMs
-    );
-  }
-
-  /** When many are deaf at once, it is we who can't be heard: none of them is to blame. */
-  private deafAreFew(): boolean {
-    let up = 0;
-    let deaf = 0;
-    for (const m of this.cluster.machines.values()) {
-      if (m.upAt === null) continue;
-      up++;
-      if (m.deafSince !== null) deaf++;
-    }
-    return deaf <= Math.max(1, up * MANY_SHARE);
-  }
-
-  /** Its notice has run out and it has fallen silent. */
-  private taken(m: Machine, now: number): boolean {
-    const { reportMs } = this.cluster.timing;
-    return (
-      m.noticeUntil !== null &&
-      now > m.noticeUntil &&
-      now - m.lastReport > reportMs * NOTICE_REPORTS
-    );
-  }
-
-  /**
-   * A silent machine is fenced by returning it while the rest of its zone is
-   * heard. When many of the zone fall silent at once, a cut is likelier than
-   * their deaths: each is given a worker lease to find its way round, after
-   * which its tasks have ended in any case. When all of the zone is silent,
-   * nobody can have found a way yet: they are given as long as new ones would
-   * take. When it is heard again, its workers come back one after the other.
-   */
-  private deadLongEnough(m: Machine, manySilent: Set<string>, now: number): boolean {
-    const { reportMs, silentMs, workerLeaseMs } = this.cluster.timing;
-    const silent = now - this.cluster.silentFrom(m);
-    if (silent <= silentMs) return false;
-    const zone = this.cluster.heard.get(m.zone);
-    const heard = zone && zone.last > m.lastReport + reportMs * 1.5;
-    if (heard && now - zone.last <= reportMs * 1.5) {
-      if (zone.since > m.lastReport && now - zone.since <= silentMs * 1.5) return false;
-      return !manySilent.has(m.zone) || silent > workerLeaseMs + reportMs;
-    }
-    return silent > Math.max(workerLeaseMs * 2, (m.type?.bootS ?? 0) * 1000 + workerLeaseMs);
-  }
-
-  /**
-   * After a takeover: the last few machines that neither confirm by a command
-   * nor report under the new token, while inherited work that they may hold
-   * waits. Waiting on costs more than what they run, so they are fenced. While
-   * many of a zone are missing, a cut keeps them, and their tasks live on.
-   */
-  private holdersUp(now: number): Set<Machine> {
-    const { cluster } = this;
-    const { reportMs } = cluster.timing;
-    const late = new Map<string, Machine[]>();
-    const up = new Map<string, number>();
-    for (const m of cluster.machines.values()) {
-      if (m.upAt === null) continue;
-      up.set(m.zone, (up.get(m.zone) ?? 0) + 1);
-      if (!m.inherited) continue;
-      const zone = late.get(m.zone);
-      if (zone) zone.push(m);
-      else late.set(m.zone, [m]);
-    }
-    const out = new Set<Machine>();
-    const waiting = new Map<string, number>();
-    for (const [zone, machines] of late) {
-      if (machines.length > Math.max(1, (up.get(zone) ?? 0) * MANY_SHARE)) continue;
-      for (const m of machines) {
-        const patience = m.unanswered ? UNANSWERED_REPORTS : CONFIRM_REPORTS;
-        if (now - cluster.silentFrom(m) <= reportMs * patience) continue;
-        const key = classKey(m.typeName, m.zone, m.spot);
-        const cpus = waiting.get(key) ?? this.inheritedCpusFor(m, now);
-        waiting.set(key, cpus);
-        if (cpus >= (m.type?.cpus ?? 0)) out.add(m);
-      }
-    }
-    return out;
-  }
-
-  /**
-   * CPUs of the inherited work that a machine of this type, zone and kind may
-   * hold. When it would fill the machine, were it free to start elsewhere, it
-   * is waited for.
-   */
-  private inheritedCpusFor(m: Machine, now: number): number {
-    let cpus = 0;
-    for (const job of this.cluster.jobs.values())
-      if (job.inherited && wantsRoom(job, now) && allowed(m, job.spec))
-        cpus += job.ready * job.spec.cpus;
-    return cpus;
-  }
-
-  private zonesWithManySilent(now: number): Set<string> {
-    const zones = new Map<string, { up: number; silent: number }>();
-    for (const m of this.cluster.machines.values()) {
-      if (m.upAt === null || m.missing) continue;
-      const z = zones.get(m.zone) ?? { up: 0, silent: 0 };
-      zones.set(m.zone, z);
-      z.up++;
-      if (now - this.cluster.silentFrom(m) > this.cluster.timing.silentMs) z.silent++;
-    }
-    const many = [...zones].filter(([, z]) => z.silent > Math.max(1, z.up * MANY_SHARE));
-    return new Set(many.map(([zone]) => zone));
+  returns(now: number): MachineReturn[] {
+    return this.surplusMachines.due(now);
   }
 }
 
@@ -573,10 +424,6 @@
   );
 }
 
-function classKey(type: string, zone: string, spot: boolean): string {
-  return `${type}|${zone}|${spot}`;
-}
-
 function kindOf(spec: JobSpec): string {
   return `${spec.jobClass}|${spec.rank}|${spec.spot}|${spec.types}|${spec.zone}`;
 }
--- a/src/duties/commands.ts
+++ b/src/duties/commands.ts
@@ -1,6 +1,7 @@
 import type { WorkerClient } from '../clients/worker.js';
 import type { Cluster } from '../core/cluster.js';
 import type { Binding, Machine } from '../core/machine.js';
+import { pendingOrders } from '../core/machine-orders.js';
 import type { MachineReport, Order } from '../core/model.js';
 import { NotSent, NotTried } from '../http/client.js';
 import { tokenOf } from '../protocol/wire.js';
@@ -74,25 +75,25 @@
     if (!this.term.mayStart()) return;
     // A command costs several times what its orders cost in the answer to a report.
     if (cluster.isBehind(this.ctx.clock.now())) return;
-    for (const machine of cluster.toTell) {
+    for (const machine of cluster.pendingCommands) {
       // The rest follows as these are answered, unless a report comes first.
       if (this.underWay.size >= this.limits.commands) return;
       if (this.underWay.has(machine.id)) continue;
-      cluster.toTell.delete(machine);
-      const { orders, starts } = cluster.urgent(machine);
+      cluster.pendingCommands.delete(machine);
+      const { orders, starts } = pendingOrders(machine);
       if (orders.length > 0) void this.command(machine, orders, starts);
     }
-    for (const machine of cluster.toProbe) {
+    for (const machine of cluster.pendingProbes) {
       if (this.underWay.size >= this.limits.commands) return;
       if (this.underWay.has(machine.id) || machine.address === '') continue;
-      cluster.toProbe.delete(machine);
+      cluster.pendingProbes.delete(machine);
       void this.command(machine, [], []);
     }
   }
 
   /** The same after what is being handled now: a report's answer takes its own orders first. */
   sendPendingSoon(): void {
-    if (this.cluster.toTell.size > 0) setImmediate(() => this.sendPending());
+    if (this.cluster.pendingCommands.size > 0) setImmediate(() => this.sendPending());
   }
 
   /** A command under the machine's token. It leaves only while leadership is proven, however long it waited for its connection. */
@@ -130,12 +131,12 @@
       const answer = await this.send(machine, machine.session, orders);
       this.takeAnswer(machine, answer.report);
       cluster.answered(starts, answer.executed, answer.report.seq);
-      if (answer.executed) cluster.hears(machine);
+      if (answer.executed) cluster.markResponsive(machine);
     } catch (error) {
-      if (error instanceof NotSent) cluster.unsent(starts);
+      if (error instanceof NotSent) for (const start of starts) start.direct = null;
       const tried = !(error instanceof NotTried);
       if (tried && !term.signal.aborted && !machine.relayed)
-        cluster.unheard(machine, ctx.clock.now());
+        cluster.markUnresponsive(machine, ctx.clock.now());
       if (!term.signal.aborted)
         ctx.log.debug(
           { machine: machine.id, error: String((error as Error).message) },
--- a/src/duties/leader.ts
+++ b/src/duties/leader.ts
@@ -4,7 +4,7 @@
 import type { Policy } from '../config/policy.js';
 import type { Platform } from '../config/settings.js';
 import { BitmapLayout } from '../core/bitmap-layout.js';
-import { type Aims, Cluster, type CorePolicy } from '../core/cluster.js';
+import { Cluster } from '../core/cluster.js';
 import {
   BITS_PREFIX,
   LIVE_PREFIX,
@@ -12,8 +12,10 @@
   UPSTREAM_PREFIX,
   upstreamKey,
 } from '../core/keys.js';
+import { raiseFence } from '../core/machine-orders.js';
 import type { MachineReport, Order } from '../core/model.js';
 import { fill, round } from '../core/placement.js';
+import type { Aims, CorePolicy } from '../core/policy.js';
 import { Renting } from '../core/renting.js';
 import type { RosterEntry } from '../core/roster.js';
 import type { Entry, StoreEvent } from '../protocol/store.js';
@@ -348,12 +350,12 @@
         fence: Math.max(m?.fence ?? 0, r.term === term.term ? r.fence : 0),
       };
     m.relayed = relayed;
-    if (m.deafSince !== null) {
+    if (m.unresponsiveSince !== null) {
       // Behind a cut it can't answer a command; there only starts without effect speak against it.
-      const tried = now - m.deafSince > ctx.timing.workerLeaseMs * 0.5;
-      if (relayed && (m.lostAnswers === 0 || tried)) cluster.hears(m);
+      const tried = now - m.unresponsiveSince > ctx.timing.workerLeaseMs * 0.5;
+      if (relayed && (m.lostAnswers === 0 || tried)) cluster.markResponsive(m);
       else if (!relayed) {
-        cluster.toProbe.add(m);
+        cluster.pendingProbes.add(m);
         setImmediate(() => this.commands.sendPending());
       }
     }
@@ -361,7 +363,7 @@
     // Room that this report has freed is filled in its own answer.
     fill(cluster, m, this.policy.machineStarts, now);
     // A command under way would be refused under the new token.
-    if (!this.commands.isUnderWay(m.id)) cluster.fenceOff(m, now);
+    if (!this.commands.isUnderWay(m.id)) raiseFence(m, cluster.timing, now);
     return { orders: cluster.orders(m), fence: m.fence };
   }
 
@@ -377,7 +379,7 @@
   }
 
   private round(now: number): boolean {
-    this.cluster.stirred = false;
+    this.cluster.roundDue = false;
     this.lastRound = now;
     let ready = 0;
     for (const job of this.cluster.jobs.values()) ready += job.ready;
@@ -400,8 +402,8 @@
       const now = ctx.clock.now();
       if (now - due > ctx.timing.lateMs) cluster.behind(now);
       // Delays run out without an event: a slow round finds what they free.
-      if (!this.term.mayStart() || (!cluster.stirred && now - this.lastRound < restMs)) continue;
-      if (this.round(now)) cluster.stirred = true;
+      if (!this.term.mayStart() || (!cluster.roundDue && now - this.lastRound < restMs)) continue;
+      if (this.round(now)) cluster.roundDue = true;
       // The larger the cluster, the longer a round takes: reports and users must not wait for the next.
       pauseMs = Math.max(pauseMs, (ctx.clock.now() - now) * ROUND_REST);
     }
--- a/src/duties/reports.ts
+++ b/src/duties/reports.ts
@@ -8,7 +8,7 @@
 import type { Leadership } from './leadership.js';
 import type { Peers } from './peers.js';
 
-interface Guest {
+interface RedirectedWorker {
   /** The leader that it was told of. */
   leader: string;
   seenAt: number;
@@ -19,7 +19,7 @@
 }
 
 /** Guests not heard of for this many worker leases are forgotten. */
-const GUEST_LEASES = 5;
+const REDIRECTED_LEASES = 5;
 
 /**
  * Workers' reports. The leader takes them. Another node names the leader;
@@ -29,7 +29,7 @@
  * cancelled work.
  */
 export class Reports {
-  private readonly guests = new Map<string, Guest>();
+  private readonly redirected = new Map<string, RedirectedWorker>();
   private sweptAt = 0;
   /** The last term for whose silent leader machines were kept: said once in the log. */
   private keptTerm = 0;
@@ -57,25 +57,25 @@
     const now = ctx.clock.now();
     this.sweep(now);
     const reachable = this.peers.hears(leader);
-    let guest = this.guests.get(report.machine);
-    if (!guest || guest.leader !== leader) {
-      guest = {
+    let worker = this.redirected.get(report.machine);
+    if (!worker || worker.leader !== leader) {
+      worker = {
         leader,
         seenAt: Number.NEGATIVE_INFINITY,
         servedSince: null,
         fresh: null,
       };
-      this.guests.set(report.machine, guest);
+      this.redirected.set(report.machine, worker);
     }
-    const returned = now - guest.seenAt < ctx.timing.reportMs * 4;
-    guest.seenAt = now;
+    const returned = now - worker.seenAt < ctx.timing.reportMs * 4;
+    worker.seenAt = now;
     // Now and then one that is served here is sent on all the same: the cut may be over.
-    const long = guest.servedSince !== null && now - guest.servedSince > ctx.timing.workerLeaseMs;
+    const long = worker.servedSince !== null && now - worker.servedSince > ctx.timing.workerLeaseMs;
     if (reachable && (!returned || long)) {
-      guest.servedSince = null;
+      worker.servedSince = null;
       return { status: 421, body: notLeaderAnswer(leader) };
     }
-    guest.servedSince ??= now;
+    worker.servedSince ??= now;
     try {
       return reachable
         ? await this.peers.passReport(leader, body)
@@ -84,7 +84,7 @@
       ctx.log.debug({ error: String((error as Error).message) }, 'report not passed on');
     }
     // The worker would wait in vain at a leader that is silent here too: it is kept without a detour.
-    return this.stand(report, guest);
+    return this.stand(report, worker);
   }
 
   /** A report that a peer passed on, or one of our own. */
@@ -104,23 +104,23 @@
     return { status: 200, body: reportAnswer(tokenOf(term.term, fence), orders) };
   }
 
-  private async stand(report: MachineReport, guest: Guest): Promise<Reply> {
+  private async stand(report: MachineReport, worker: RedirectedWorker): Promise<Reply> {
     const { ctx, leadership } = this;
     const term = leadership.knownTerm;
     const away = { status: 421, body: notLeaderAnswer(null) };
     if (term === null || report.term > term) return away;
     const now = ctx.clock.now();
-    if (report.term < term && guest.fresh?.term !== term && (await this.unaware(report, term)))
-      guest.fresh = { term, at: now };
+    if (report.term < term && worker.fresh?.term !== term && (await this.unaware(report, term)))
+      worker.fresh = { term, at: now };
     // A start of that leader may be held back by the cut, and reach a session that is kept alive.
     // Its time is counted from when the leader fell silent, so that several nodes can't add theirs
     // up; a machine that learns of the term only here can have no such start on its way.
     const from =
-      guest.fresh?.term === term ? guest.fresh.at : this.peers.heardLeading(guest.leader, term);
+      worker.fresh?.term === term ? worker.fresh.at : this.peers.heardLeading(worker.leader, term);
     if (from === null || now - from > ctx.timing.deputyMs) return away;
     if (this.keptTerm !== term)
       ctx.log.info(
-        { term, leader: guest.leader, machine: report.machine },
+        { term, leader: worker.leader, machine: report.machine },
         'keeping cut-off machines',
       );
     this.keptTerm = term;
@@ -158,9 +158,9 @@
   }
 
   private sweep(now: number): void {
-    const keep = this.ctx.timing.workerLeaseMs * GUEST_LEASES;
+    const keep = this.ctx.timing.workerLeaseMs * REDIRECTED_LEASES;
     if (now - this.sweptAt < keep) return;
     this.sweptAt = now;
-    for (const [id, g] of this.guests) if (now - g.seenAt > keep) this.guests.delete(id);
+    for (const [id, g] of this.redirected) if (now - g.seenAt > keep) this.redirected.delete(id);
   }
 }
--- a/test/history.test.ts
+++ b/test/history.test.ts
@@ -5,8 +5,10 @@
 import type { Cluster } from '../src/core/cluster.js';
 import { flushUnits, type Unit, unknownChunks } from '../src/core/flush.js';
 import type { Binding, Machine } from '../src/core/machine.js';
+import { pendingOrders, raiseFence } from '../src/core/machine-orders.js';
+import { allowed } from '../src/core/machine-rules.js';
 import type { MachineReport, Order } from '../src/core/model.js';
-import { allowed, round } from '../src/core/placement.js';
+import { round } from '../src/core/placement.js';
 import type { RosterEntry } from '../src/core/roster.js';
 import { cluster, ScriptedWorker, spec, team } from './support/cluster.js';
 
@@ -163,15 +165,15 @@
     this.started += round(c, 32, this.now).started.length;
     const m = c.machines.get(report.machine);
     if (!m) return [];
-    c.fenceOff(m, this.now);
+    raiseFence(m, c.timing, this.now);
     return c.orders(m);
   }
 
   private commandsOut(): void {
-    for (const machine of [...this.c.toTell]) {
-      this.c.toTell.delete(machine);
+    for (const machine of [...this.c.pendingCommands]) {
+      this.c.pendingCommands.delete(machine);
       const worker = this.workers.find((w) => w.id === machine.id);
-      const { orders, starts } = this.c.urgent(machine);
+      const { orders, starts } = pendingOrders(machine);
       if (worker && orders.length > 0)
         this.commands.push({
           worker,
@@ -274,7 +276,7 @@
       for (const spot of [true, false]) {
         const job = spec({ zone, spot });
         const held = [...this.c.machines.values()].some((m) => m.inherited && allowed(m, job));
-        assert.equal(this.c.mayBeHeld(job), held, 'inherited machines are miscounted');
+        assert.equal(this.c.inherited.mayHold(job), held, 'inherited machines are miscounted');
       }
     let used = 0;
     for (const m of this.c.machines.values())
--- a/test/job-graph.test.ts
+++ b/test/job-graph.test.ts
@@ -5,6 +5,7 @@
 import type { Cluster } from '../src/core/cluster.js';
 import { flushUnits } from '../src/core/flush.js';
 import type { Job } from '../src/core/job.js';
+import { pendingOrders } from '../src/core/machine-orders.js';
 import { round } from '../src/core/placement.js';
 import { Renting } from '../src/core/renting.js';
 import { cluster, joined, ScriptedWorker, spec } from './support/cluster.js';
@@ -30,7 +31,7 @@
   add(c, 2, [], { tasks: 1 });
   const last = add(c, 3, [1, 2], { tasks: 1 });
   round(c, 32, 0);
-  w.execute(c.term, c.urgent(c.machines.get('n-1') as never).orders);
+  w.execute(c.term, pendingOrders(c.machines.get('n-1') as never).orders);
   assert.deepEqual(w.running().sort(), [`${id(1)}/0`, `${id(2)}/0`]);
   // Their exits alone are not enough: a cancellation may still win.
   for (const key of [...w.tasks.keys()]) w.exit(key, 'done');
@@ -103,7 +104,7 @@
   add(c, 1, [], { tasks: 1 });
   const next = add(c, 2, [1]);
   round(c, 32, 0);
-  w.execute(c.term, c.urgent(c.machines.get('n-1') as never).orders);
+  w.execute(c.term, pendingOrders(c.machines.get('n-1') as never).orders);
   w.exit([...w.tasks.keys()][0] as string, 'done');
   c.report(w.report(), true, 100);
   const [end] = flushUnits(c, { spare: 9, wallNow: 0 });
@@ -162,7 +163,7 @@
     if (!other.waitsFor.has(job.spec.id)) continue;
     const after = anew(c, other);
     rank = Math.min(rank, after.rank);
-    end = Math.min(end, after.end - c.estimateS(other.spec) * 1.5 * 1000);
+    end = Math.min(end, after.end - c.estimates.estimateS(other.spec) * 1.5 * 1000);
   }
   return { rank, end };
 }
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { flushUnits, unknownChunks } from '../src/core/flush.js';
+import { pendingOrders } from '../src/core/machine-orders.js';
 import { round } from '../src/core/placement.js';
 import { beat, cluster, joined, ScriptedWorker, spec, team } from './support/cluster.js';
 
@@ -44,7 +45,7 @@
   round(c, 32, 0);
   const m = c.machines.get('n-1');
   assert.ok(m && job);
-  const { orders } = c.urgent(m);
+  const { orders } = pendingOrders(m);
   assert.equal(orders.length, 1);
   // No answer came, and several reports do not list it.
   c.report(w.report(), true, 100);
@@ -70,7 +71,7 @@
   round(c, 32, 0);
   const m = c.machines.get('n-1');
   assert.ok(m && job);
-  c.answered(c.urgent(m).starts, false, 9);
+  c.answered(pendingOrders(m).starts, false, 9);
   assert.equal(job.ready, 1);
 });
 
@@ -82,7 +83,7 @@
   const m = c.machines.get('n-1');
   assert.ok(m && job);
   const older = w.report();
-  const { orders, starts } = c.urgent(m);
+  const { orders, starts } = pendingOrders(m);
   w.execute(1, orders);
   const answer = w.report();
   c.answered(starts, true, answer.seq);
@@ -228,7 +229,7 @@
   round(c, 32, 0);
   const m = c.machines.get('n-1');
   assert.ok(m);
-  const { orders } = c.urgent(m);
+  const { orders } = pendingOrders(m);
   c.endJob('req-000001', { state: 'cancelled', at: null });
   let now = 0;
   // It counts against the limit until then, whatever the reports list.
@@ -249,7 +250,7 @@
   round(c, 1, 0);
   const m = c.machines.get('n-1');
   assert.ok(m && job);
-  const { orders, starts } = c.urgent(m);
+  const { orders, starts } = pendingOrders(m);
   w.execute(1, orders);
   c.answered(starts, true, w.report().seq);
   beat(c, w, 100);
@@ -267,7 +268,7 @@
   assert.equal(w.execute(1, orders, 0), false);
   // Starts under the raised fence are carried out as before.
   round(c, 32, now);
-  const next = c.urgent(m);
+  const next = pendingOrders(m);
   assert.equal(w.execute(1, next.orders, m.fence), true);
   assert.ok(w.running().length > 0);
 });
@@ -383,7 +384,7 @@
   round(c, 32, 0);
   const m = c.machines.get('n-1');
   assert.ok(m);
-  const { starts } = c.urgent(m);
+  const { starts } = pendingOrders(m);
   w.lapse();
   c.report(w.report(), true, 10);
   assert.equal(c.teamUse.get('ops')?.cpus, 0);
--- a/test/support/cluster.ts
+++ b/test/support/cluster.ts
@@ -1,5 +1,6 @@
 import { BitmapLayout } from '../../src/core/bitmap-layout.js';
 import { Cluster } from '../../src/core/cluster.js';
+import { raiseFence } from '../../src/core/machine-orders.js';
 import type {
   ExitCause,
   JobSpec,
@@ -179,7 +180,7 @@
 export function beat(c: Cluster, w: ScriptedWorker, now: number): Order[] {
   c.report(w.report(), true, now);
   const m = c.machines.get(w.id);
-  if (m) c.fenceOff(m, now);
+  if (m) raiseFence(m, c.timing, now);
   const orders = m ? c.orders(m) : [];
   w.execute(c.term, orders, m?.fence ?? 0);
   return orders;
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -74,10 +74,10 @@
   };
   for (let i = 0; i < 5; i++) pass();
   assert.equal(starts, 2);
-  assert.notEqual(m.deafSince, null);
+  assert.notEqual(m.unresponsiveSince, null);
   assert.equal(job.ready, 1);
   // An answered command shows that it hears again.
-  c.hears(m);
+  c.markResponsive(m);
   pass();
   assert.equal(starts, 3);
   // Its lease ends although it reports: deaf from there on, and returned when that lasts.
@@ -93,7 +93,7 @@
   // When many seem deaf it is the leader that is not heard, and nobody is returned for it.
   for (const w of others) {
     const other = c.machines.get(w.id);
-    if (other) c.unheard(other, 0);
+    if (other) c.markUnresponsive(other, 0);
   }
   assert.deepEqual(r.returns(now), []);
 });
