--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -3,8 +3,10 @@
 import { round } from '../src/core/placement.js';
 import { Renting } from '../src/core/renting.js';
 import { Roster } from '../src/core/roster.js';
+import { Commands } from '../src/duties/commands.js';
 import { Health } from '../src/duties/health.js';
 import { Peers } from '../src/duties/peers.js';
+import { NoAnswer, NotTried } from '../src/http/client.js';
 import type { Status } from '../src/peer/net.js';
 import { FakeClock } from './support/clock.js';
 import { beat, cluster, joined, ScriptedWorker, spec, team } from './support/cluster.js';
@@ -98,6 +100,56 @@
   assert.deepEqual(r.returns(now), []);
 });
 
+test('an inherited machine that answers nothing, asked directly or not, is fenced after a report interval', () => {
+  const endOf = (unanswered: boolean) => {
+    const c = cluster({ term: 2 });
+    const r = new Renting(c);
+    c.inheritMachine('n-1', 'm16', 'a', false, '10.0.0.1:9001', 0);
+    c.inheritMachine('n-2', 'm16', 'a', false, '10.0.0.1:9002', 0);
+    const well = joined(c, new ScriptedWorker('n-2'), 100);
+    const silent = c.machines.get('n-1');
+    assert.ok(silent);
+    silent.unanswered = unanswered;
+    // Work that it may hold would fill it.
+    c.addJob(spec({ tasks: 8 }), 1, 0, true);
+    for (let now = 200; now < 60_000; now += 100) {
+      beat(c, well, now);
+      if (r.returns(now).some((x) => x.machine === silent)) return now;
+    }
+    return null;
+  };
+  // Intervals are 3 s with a quarter of jitter; a redirection takes half a second.
+  const asked = endOf(true) ?? 0;
+  assert.ok(asked > 3750 && asked <= 4400, `asked: ${asked}`);
+  const notAsked = endOf(false) ?? 0;
+  assert.ok(notAsked > 6000 && notAsked <= 6500, `not asked: ${notAsked}`);
+});
+
+test('only a machine that was asked and gave no answer counts as unanswered', async () => {
+  const clock = new FakeClock();
+  const ctx = context('n-0', new FakeState(new FakeStore(clock)), clock);
+  const c = cluster({ term: 2 });
+  for (const id of ['n-1', 'n-2', 'n-3'])
+    c.inheritMachine(id, 'm16', 'a', false, `10.0.0.1:${id}`, 0);
+  const stop = new AbortController();
+  const workers = {
+    command: async (address: string) => {
+      if (address.endsWith('n-1')) throw new NoAnswer('timed out');
+      if (address.endsWith('n-2')) throw new NotTried('every socket is in use');
+      const worker = new ScriptedWorker('n-3');
+      worker.term = 2;
+      return { executed: true, report: worker.report() };
+    },
+  };
+  const term = { term: 2, signal: stop.signal, proven: () => true } as never;
+  const commands = new Commands(ctx, term, c, workers, { commands: 9, confirmations: 9 });
+  void commands.confirmAll(stop.signal).catch(() => {});
+  await clock.advance(ctx.timing.reportMs);
+  stop.abort();
+  const unanswered = [...c.machines.values()].map((m) => m.unanswered);
+  assert.deepEqual(unanswered, [true, false, false]);
+});
+
 test('a machine that never learns of the new term holds up only work it could hold, and not for ever', () => {
   const teams = [team({ name: 'ops', cpusMax: 16 })];
   const c = cluster({ term: 2, teams });
--- a/test/upstream-lists.test.ts
+++ b/test/upstream-lists.test.ts
@@ -331,3 +331,73 @@
   assert.equal(await node.standing(id(900_000)), 'cancelled');
   assert.ok(node.state.requests - requests < 5);
 });
+
+/** Written by the version that kept no more ids than one transaction takes. */
+const EARLIER_ENTRIES = [
+  {
+    key: 'live/req-000412',
+    value: {
+      spec: {
+        id: 'req-000412',
+        jobClass: 'work',
+        team: 'ops',
+        rank: 2,
+        tasks: 3,
+        cpus: 4,
+        gpus: 0,
+        memoryGb: 8,
+        image: 'img',
+        imageGb: 1,
+        types: null,
+        zone: null,
+        oneZone: false,
+        spread: false,
+        spot: true,
+        estimateS: 20,
+        checkpointS: 0,
+        saveS: 0,
+        deadlineS: null,
+      },
+      at: 1_800_000_000_000,
+      upstream: ['req-000500', 'req-000501', 'req-000502'],
+      upstreamPages: 2,
+    },
+  },
+  { key: 'upstream/req-000412/0', value: ['req-000503', 'req-000504'] },
+  { key: 'upstream/req-000412/1', value: ['req-000505'] },
+];
+
+test('what the version before long lists wrote is read, waited for, and cancelled with what it needs', async () => {
+  const scene = new Scene();
+  const node = scene.node();
+  const needed = [500, 501, 502, 503, 504, 505].map((n) => scene.accepted(n));
+  for (const { key, value } of EARLIER_ENTRIES)
+    scene.store.transact([], [{ op: 'put', key, value }]);
+  const record = scene.record('req-000412');
+  assert.deepEqual(await node.upstream('req-000412', record), needed);
+  const repeated = await node.submit('req-000412', needed);
+  assert.deepEqual(repeated, { status: 200, body: { id: 'req-000412', standing: 'queued' } });
+  for (const job of needed.slice(0, 5)) {
+    // Its ends carry the time, those of the version before them do not.
+    const end = {
+      state: 'done',
+      tasks: 2,
+      ...(job === needed[0] ? {} : { at: 1_800_000_000_000 }),
+    };
+    scene.store.transact(
+      [],
+      [
+        { op: 'put', key: `over/${job}`, value: end },
+        { op: 'delete', key: `live/${job}` },
+      ],
+    );
+  }
+  await scene.clock.advance(node.ctx.timing.upstreamFreshMs);
+  assert.equal(await node.standing('req-000412'), 'queued');
+  // A job that names it has a list of the new form only when it is long.
+  assert.equal((await node.submit(id(1), ['req-000412'])).status, 201);
+  assert.equal(scene.record(id(1)).upstreamList, undefined);
+  scene.end('req-000505', 'cancelled');
+  await scene.clock.advance(node.ctx.timing.upstreamFreshMs);
+  for (const job of ['req-000412', id(1)]) assert.equal(await node.standing(job), 'cancelled');
+});
