--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -320,8 +320,22 @@
   assert.deepEqual(w.running(), []);
   // What it used is in doubt until it is gone.
   assert.equal(c.machines.get('n-1')?.strays, true);
+  assert.equal(c.doubt().cpus, c.types.get('m16')?.cpus);
   beat(c, w, 20);
   assert.equal(c.machines.get('n-1')?.strays, false);
+  assert.equal(c.doubt().cpus, 0);
+  // Nor is a machine in doubt that has gone with them.
+  w.tasks.set('req-000007/0/3', {
+    job: 'req-000007',
+    index: 0,
+    attempt: 3,
+    state: 'running',
+    cause: null,
+  });
+  c.report(w.report(), true, 30);
+  assert.ok(c.doubt().cpus > 0);
+  c.machineGone('n-1', 'returned', 40);
+  assert.equal(c.doubt().cpus, 0);
 });
 
 test('silence proves nothing; a list proves a machine gone only when it cannot be older than its listing', () => {
