--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import net from 'node:net';
-import { test } from 'node:test';
+import { type TestContext, test } from 'node:test';
 import { CloudClient } from '../src/clients/cloud.js';
 import { StateClient } from '../src/clients/state.js';
 import type { Cluster } from '../src/core/cluster.js';
@@ -169,9 +169,10 @@
   assert.ok(stored.size <= (MACHINES / 15) * 1.2, `${stored.size} pages`);
 });
 
-/** A server that is asked over loopback. */
-async function served(handler: Handler, maxConnections = 1000) {
+/** A server that is asked over loopback, until the test ends. */
+async function served(t: TestContext, handler: Handler, maxConnections = 1000) {
   const stop = new AbortController();
+  t.after(() => stop.abort());
   const server = await serve(
     {
       host: '127.0.0.1',
@@ -188,13 +189,13 @@
   return { port: (server.address() as net.AddressInfo).port, stop };
 }
 
-test('a watch whose answer is longer than is taken means reading again, like a revision too old', async () => {
+test('a watch whose answer is longer than is taken means reading again, like a revision too old', async (t) => {
   const events = Array.from({ length: 10_000 }, (_, i) => ({
     set: `live/req-${i}`,
     v: { spec: 'x'.repeat(500) },
     stamp: i,
   }));
-  const { port, stop } = await served(() => ({
+  const { port } = await served(t, () => ({
     status: 200,
     body: { ledgerRev: 9, news: events },
   }));
@@ -206,9 +207,8 @@
     timeoutMs: 20_000,
     clock: new FakeClock(),
   });
+  t.after(() => state.close());
   assert.equal(await state.watch('live/', 1, 0), null);
-  state.close();
-  stop.abort();
 });
 
 /** A worker's side of a connection: one request at a time. */
@@ -243,17 +243,18 @@
   }
 }
 
-test('more workers than sockets are all served, most of them on the connections that they have', async () => {
+test('more workers than sockets are all served, most of them on the connections that they have', async (t) => {
   const sockets = 40;
-  const { port, stop } = await served(() => ({ status: 200, body: {} }), sockets);
+  const { port } = await served(t, () => ({ status: 200, body: {} }), sockets);
   const callers = Array.from({ length: sockets * 3 }, () => new Caller(port));
+  t.after(() => {
+    for (const caller of callers) caller.end();
+  });
   const rounds = 4;
   for (let n = 0; n < rounds; n++)
     for (const caller of callers) assert.equal(await caller.report(), 200);
   const keeping = callers.filter((caller) => caller.connects === 1).length;
   assert.ok(keeping >= sockets * 0.8, `${keeping} kept theirs`);
-  for (const caller of callers) caller.end();
-  stop.abort();
 });
 
 test('thousands of returns leave as many at a time as the cloud has calls for', async () => {
@@ -286,10 +287,10 @@
   stop.abort();
 });
 
-test('the pages of a long list leave calls to the cloud for rentals', async () => {
+test('the pages of a long list leave calls to the cloud for rentals', async (t) => {
   const clock = new FakeClock();
   const asked: string[] = [];
-  const { port, stop } = await served((request) => {
+  const { port, stop } = await served(t, (request) => {
     asked.push(request.method);
     return request.method === 'GET'
       ? { status: 200, body: { carts: [], hasNext: true } }
@@ -301,6 +302,7 @@
     timeoutMs: 20_000,
     clock,
   });
+  t.after(() => cloud.close());
   const { signal } = stop;
   // The list takes what there is, and waits before the last call is gone.
   for (let page = 0; page < 2; page++) await cloud.list(null, signal);
@@ -311,8 +313,6 @@
   assert.deepEqual(asked, ['GET', 'GET', 'POST']);
   await clock.advance(2000);
   await waiting;
-  cloud.close();
-  stop.abort();
 });
 
 test('while memory is short new jobs are put off and known ones are not, and it is said once', async () => {
