--- a/test/meetings-history.test.ts
+++ b/test/meetings-history.test.ts
@@ -2,7 +2,9 @@
 import { test } from 'node:test';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
-import { type Controller, type PlayedMachine, World } from './support/world.js';
+import type { Controller } from './support/controller.js';
+import type { PlayedMachine } from './support/played-machine.js';
+import { World } from './support/world.js';
 
 const SEEDS = 12;
 const TROUBLES = 26;
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ScriptedWorker } from './support/cluster.js';
-import { onWire, World } from './support/world.js';
+import { onWire } from './support/wire.js';
+import { World } from './support/world.js';
 
 /** No luck at all: whatever is drawn is the middle. */
 const even = () => 0.5;
--- /dev/null
+++ b/test/support/controller.ts
@@ -0,0 +1,100 @@
+import { pino } from 'pino';
+import { DEFAULT_POLICY } from '../../src/config/policy.js';
+import type { Context } from '../../src/duties/context.js';
+import { corePolicy, Leader } from '../../src/duties/leader.js';
+import { Leadership } from '../../src/duties/leadership.js';
+import { Reports } from '../../src/duties/reports.js';
+import { Users } from '../../src/duties/users.js';
+import { NoAnswer } from '../../src/http/client.js';
+import { context, type NextLimits } from './context.js';
+import { FakeState } from './state.js';
+import type { World } from './world.js';
+
+/** Limits that the state service has from some moment on. */
+export const NEXT: NextLimits = { value_kb: 2, txn_ops: 4, write_rps: 20 };
+
+/** One controller with its real duties; its sockets are played. */
+export class Controller {
+  readonly state: FakeState;
+  readonly ctx: Context;
+  readonly leadership: Leadership;
+  readonly reports: Reports;
+  readonly users: Users;
+  leader: Leader | null = null;
+  /** Reaches no other controller, and no worker reaches or hears it. */
+  cutFromPeers = false;
+  cutFromWorkers = false;
+  dead = false;
+  private readonly stop = new AbortController();
+
+  constructor(
+    readonly world: World,
+    readonly name: string,
+    life: number,
+  ) {
+    const { clock, store } = world;
+    this.state = new FakeState(store);
+    this.state.holdsBack = () => world.random() < world.lateShare;
+    const next = world.upgraded.has(name) ? NEXT : null;
+    this.ctx = { ...context(name, this.state, clock, next), incarnation: `${name}-${life}` };
+    this.ctx.log = pino({ level: 'silent' });
+    this.leadership = new Leadership(this.ctx, async (term) => {
+      const leader = new Leader(
+        this.ctx,
+        world.cloud(this),
+        term,
+        corePolicy(DEFAULT_POLICY),
+        world.commands(this),
+      );
+      this.leader = leader;
+      world.terms.push(this);
+      try {
+        await leader.run();
+      } finally {
+        this.leader = null;
+      }
+    });
+    this.users = new Users(
+      this.ctx,
+      () => null,
+      async (id, revision) => {
+        this.leader?.cancelled(id, revision);
+        for (const peer of this.peersHeard()) peer.leader?.cancelled(id, revision);
+      },
+    );
+    const peer = (node: string) => this.peersHeard().find((c) => c.name === node);
+    this.reports = new Reports(
+      this.ctx,
+      this.leadership,
+      () => this.leader,
+      {
+        hears: (node) => peer(node) !== undefined,
+        heardLeading: (node) => world.heardLeading(this, node),
+        passReport: async (node, body) => {
+          const other = peer(node);
+          if (!other) throw new Error('not heard');
+          return other.reports.handle(body);
+        },
+        mailReport: () => Promise.reject(new Error('no mail')),
+      },
+      async (address) => {
+        const m = world.byAddress(address);
+        if (!m || m.hangs || m.deaf || this.cutFromWorkers) throw new NoAnswer('not asked');
+        return m.worker.report();
+      },
+    );
+    void this.leadership.run(this.stop.signal);
+  }
+
+  private peersHeard(): Controller[] {
+    if (this.cutFromPeers) return [];
+    return this.world.controllers.filter((c) => c !== this && !c.dead && !c.cutFromPeers);
+  }
+
+  /** Ends like a killed process: nothing more leaves it. */
+  crash(): void {
+    this.dead = true;
+    this.state.fault = 'dead';
+    this.stop.abort();
+  }
+}
--- /dev/null
+++ b/test/support/played-machine.ts
@@ -0,0 +1,151 @@
+import type { Order } from '../../src/core/model.js';
+import type { Reply } from '../../src/http/server.js';
+import { tokenOf } from '../../src/protocol/wire.js';
+import { ScriptedWorker } from './cluster.js';
+import type { Controller } from './controller.js';
+import { fromWire, onWire, type WireOrder } from './wire.js';
+import type { World } from './world.js';
+
+const FENCES = tokenOf(1, 0);
+/** A worker gives a report up after this long (protocol). */
+const REPORT_TIMEOUT_MS = 4000;
+/** Steps of a worker's own time. */
+export const TICK_MS = 500;
+
+/** A machine with its worker, as the protocol describes it. */
+export class PlayedMachine {
+  readonly worker: ScriptedWorker;
+  hangs = false;
+  deaf = false;
+  mute = false;
+  gone = false;
+  /** The lease runs from here. */
+  private leaseFrom: number;
+  private at: number;
+  private reported = '';
+  private readonly ends = new Map<string, number>();
+  /** Direct commands that came while it hung. */
+  private held: (() => void)[] = [];
+
+  constructor(
+    readonly world: World,
+    id: string,
+    zone: string,
+  ) {
+    this.worker = new ScriptedWorker(id, zone);
+    this.leaseFrom = world.clock.now();
+    this.at = world.pick(3);
+    void this.run();
+  }
+
+  get address(): string {
+    return `10.0.0.1:${9000 + Number(this.worker.id.slice(2))}`;
+  }
+
+  /** The worker's own clock: its lease and its tasks' ends, to the moment. */
+  sync(): void {
+    const now = this.world.clock.now();
+    if (now - this.leaseFrom > this.world.leaseMs) {
+      this.worker.lapse();
+      this.leaseFrom = now;
+      this.ends.clear();
+    }
+    if (this.hangs) return;
+    for (const [key, end] of this.ends) {
+      const t = this.worker.tasks.get(key);
+      if (!t || t.state === 'exited') this.ends.delete(key);
+      else if (end <= now) {
+        this.worker.exit(key, 'done');
+        this.ends.delete(key);
+        this.world.ended(t.job, t.index);
+      }
+    }
+  }
+
+  execute(token: number, orders: Order[]): boolean {
+    this.sync();
+    const before = new Set(this.worker.tasks.keys());
+    const took = this.worker.execute(Math.floor(token / FENCES), orders, token % FENCES);
+    for (const [key, t] of this.worker.tasks)
+      if (!before.has(key) && t.state === 'running') {
+        if (this.world.completed.has(`${t.job}/${t.index}`)) this.worker.exit(key, 'done');
+        else {
+          this.world.starts(t.job);
+          this.ends.set(key, this.world.clock.now() + this.world.runMs());
+        }
+      }
+    return took;
+  }
+
+  /** A direct command. */
+  command(token: number, session: number, orders: Order[]) {
+    const took = session === this.worker.session && this.execute(token, orders);
+    return { executed: took, report: this.worker.report() };
+  }
+
+  hold(work: () => void): void {
+    this.held.push(work);
+  }
+
+  resume(): void {
+    this.hangs = false;
+    this.sync();
+    for (const work of this.held.splice(0)) work();
+  }
+
+  private async run(): Promise<void> {
+    const { clock } = this.world;
+    const every = this.world.reportMs;
+    let due = clock.now() + this.world.random() * every;
+    while (!this.gone) {
+      await clock.sleep(TICK_MS);
+      if (this.gone) return;
+      this.sync();
+      if (this.hangs) continue;
+      const { worker } = this;
+      const now = `${worker.session} ${worker.term} ${worker.fence} ${worker.running()} ${worker.tasks.size}`;
+      if (clock.now() < due && now === this.reported) continue;
+      this.reported = now;
+      due = clock.now() + every * (0.75 + this.world.random() * 0.5);
+      await this.report();
+    }
+  }
+
+  private async report(): Promise<void> {
+    const { clock, controllers } = this.world;
+    const sentAt = clock.now();
+    const node = controllers[this.at] as Controller;
+    const { session } = this.worker;
+    const body = onWire(this.worker.report());
+    let reply: Reply | null = null;
+    if (!this.mute && !node.dead && !node.cutFromWorkers) {
+      if (this.world.random() < this.world.copyShare)
+        this.world.later(2000 + this.world.random() * 30_000, () => {
+          const to = controllers[this.world.pick(3)] as Controller;
+          if (!to.dead) void to.reports.handle(body);
+        });
+      const answer = node.reports.handle(body).catch(() => null);
+      const late = clock.sleep(REPORT_TIMEOUT_MS).then(() => null);
+      reply = await Promise.race([answer, late]);
+      if (this.deaf) reply = null;
+    }
+    if (this.gone || this.hangs) return;
+    this.sync();
+    if (reply?.status === 200) {
+      const answer = reply.body as { baton: number; orders: WireOrder[] };
+      if (session !== this.worker.session) return;
+      if (answer.baton < tokenOf(this.worker.term, this.worker.fence)) return;
+      this.execute(answer.baton, answer.orders.map(fromWire));
+      this.leaseFrom = Math.max(this.leaseFrom, sentAt);
+      return;
+    }
+    const steward = (reply?.body as { steward?: string } | undefined)?.steward;
+    const named = controllers.findIndex((c) => c.name === steward);
+    if (reply?.status === 421 && named >= 0 && named !== this.at) this.at = named;
+    else {
+      await clock.sleep(1000);
+      this.at = (this.at + 1) % controllers.length;
+    }
+    this.reported = '';
+  }
+}
--- /dev/null
+++ b/test/support/wire.ts
@@ -0,0 +1,42 @@
+/** Workers' messages in the wire's words. */
+import type { MachineReport, Order } from '../../src/core/model.js';
+import { tokenOf } from '../../src/protocol/wire.js';
+
+const STANDINGS = { fetching: 'pulling', running: 'running', saving: 'saving', exited: 'exited' };
+
+/** A report in the wire's words. */
+export function onWire(r: MachineReport): Buffer {
+  return Buffer.from(
+    JSON.stringify({
+      cart: r.machine,
+      endpoint: r.address,
+      rig: r.type,
+      hall: r.zone,
+      loaner: r.spot,
+      shift: r.session,
+      tally: r.seq,
+      baton: tokenOf(r.term, r.fence),
+      recallS: r.noticeS,
+      hands: r.tasks.map((t) => ({
+        hand: `${t.job}/${t.index}`,
+        try: t.attempt,
+        standing: STANDINGS[t.state],
+        ...(t.cause ? { cause: t.cause === 'stopped' ? 'halted' : t.cause } : {}),
+      })),
+    }),
+  );
+}
+
+export interface WireOrder {
+  verb: string;
+  hand: string;
+  try: number;
+  windDownS?: number;
+}
+
+export function fromWire(o: WireOrder): Order {
+  const [job = '', index = ''] = o.hand.split('/');
+  const base = { job, index: Number(index), attempt: o.try };
+  if (o.verb === 'run') return { op: 'start', ...base };
+  return o.verb === 'kill' ? { op: 'stop', ...base, graceS: 0 } : { op: 'forget', ...base };
+}
