--- a/review/stand-ins/controllers.mjs
+++ b/review/stand-ins/controllers.mjs
@@ -77,18 +77,6 @@
     return status === 200;
   }
 
-  /** The log lines of a controller at level info and above, as objects. */
-  log(name) {
-    try {
-      return readFileSync(path.join(this.folder, `${name}.log`), 'utf8')
-        .split('\n')
-        .filter((line) => line.startsWith('{'))
-        .map((line) => JSON.parse(line));
-    } catch {
-      return [];
-    }
-  }
-
   close() {
     for (const name of [...this.children.keys()]) this.kill(name);
     rmSync(this.folder, { recursive: true, force: true });
--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -4,7 +4,7 @@
 import { Controllers, settingsOf } from './controllers.mjs';
 import { freePorts, HOST, requestJson } from './http.mjs';
 import { Link } from './links.mjs';
-import { Record, until } from './record.mjs';
+import { Record, sleep, until } from './record.mjs';
 import { StateService } from './state.mjs';
 import { Worker } from './worker.mjs';
 
@@ -114,6 +114,18 @@
     return reply;
   }
 
+  /** Submits a job again and again, as users do, until it is accepted or refused for good. */
+  async submitUntilAccepted(node, job, runS) {
+    const start = this.nodes.findIndex(({ name }) => name === node);
+    for (let n = 0; n < 20; n++) {
+      const { status } = await this.submit(this.nodes[(start + n) % this.nodes.length].name, job, runS);
+      if (status === 200 || status === 201) return;
+      if (status === 400 || status === 422) break;
+      await sleep(1000);
+    }
+    throw new Error(`${job.id} is not accepted`);
+  }
+
   async poll(node, id) {
     const reply = await requestJson({ port: this.port(node), method: 'GET', path: `/v1/jobs/${id}`, timeoutMs: POLL_TIMEOUT_MS });
     this.record.add('user', `ask ${node} about ${id} -> ${reply.status || 'no response'} ${JSON.stringify(reply.body)}`);
--- a/review/stand-ins/http.mjs
+++ b/review/stand-ins/http.mjs
@@ -4,19 +4,38 @@
 
 export const HOST = '127.0.0.1';
 
-/** Returns `count` free ports. All are held open until the last one is known. */
+/** Ports that the system does not give to outgoing connections on its own, in blocks. */
+const FIRST_PORT = 15_000;
+const LAST_PORT = 30_000;
+const BLOCK = 100;
+
+function listenOn(port) {
+  return new Promise((resolve) => {
+    const server = net.createServer().once('error', () => resolve(null));
+    server.listen(port, HOST, () => resolve(server));
+  });
+}
+
+/**
+ * Returns `count` free ports of one block. The block's first port stays open until the process
+ * ends, so that runs beside this one take other blocks, also while a controller is down.
+ */
 export async function freePorts(count) {
-  const servers = [];
-  for (let i = 0; i < count; i++)
-    servers.push(
-      await new Promise((resolve, reject) => {
-        const server = net.createServer().once('error', reject);
-        server.listen(0, HOST, () => resolve(server));
-      }),
+  for (;;) {
+    const blocks = Math.floor((LAST_PORT - FIRST_PORT) / BLOCK);
+    const first = FIRST_PORT + Math.floor(Math.random() * blocks) * BLOCK;
+    const lock = await listenOn(first);
+    if (!lock) continue;
+    lock.unref();
+    const servers = [];
+    for (let port = first + 1; port <= first + count; port++) servers.push(await listenOn(port));
+    await Promise.all(
+      servers.map((server) => new Promise((done) => (server ? server.close(done) : done()))),
     );
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
-  return ports;
+    if (servers.every((server) => server !== null))
+      return servers.map((_, index) => first + 1 + index);
+    lock.close();
+  }
 }
 
 /**
--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -31,6 +31,8 @@
     this.changed = true;
     this.tokenChangeAt = -Infinity;
     this.stopped = false;
+    /** The controller whose answer it last accepted. */
+    this.servedBy = null;
     /** Whether the machine fails every task that it starts. */
     this.sick = false;
     this.node = 0;
@@ -121,7 +123,7 @@
     const lost = reply.status === 200 && !this.reaches(name);
     const { status, body: answer } = lost ? { status: 0, body: {} } : reply;
     this.logReport(name, body, status, answer);
-    if (status === 200) this.takeAnswer(answer, shift, sentAt);
+    if (status === 200) this.takeAnswer(answer, shift, sentAt, name);
     else if (status === 421) await this.redirected(answer.steward, name);
     else await this.tryNext();
   }
@@ -135,10 +137,11 @@
     this.record.add(this.id, `report to ${node}: session ${rest.shift}, token ${rest.baton}, tasks ${JSON.stringify(rest.hands)} -> ${status} ${JSON.stringify(answer)}`);
   }
 
-  takeAnswer(answer, shift, sentAt) {
+  takeAnswer(answer, shift, sentAt, node) {
     // A response to a report of an earlier session, or with a lower token or none, is dropped.
     if (shift !== this.shift || !(answer.baton >= this.baton)) return;
     this.raiseToken(answer.baton);
+    this.servedBy = node;
     this.leaseFrom = Math.max(this.leaseFrom, sentAt);
     for (const order of answer.orders ?? []) this.execute(order);
   }
@@ -169,7 +172,8 @@
   // Direct commands
 
   async serve(request, body) {
-    const node = this.sourceOf(request.socket.remotePort, this.port);
+    const { remotePort } = request.socket;
+    const node = remotePort === undefined ? null : this.sourceOf(remotePort, this.port);
     if (node && !this.reaches(node)) {
       this.record.add(this.id, `${request.method} ${request.url} from ${node}: lost on the way`);
       return null;
@@ -189,6 +193,7 @@
   // Tasks
 
   execute({ verb, hand, try: attempt, windDownS }) {
+    if (this.stopped) return;
     const key = `${hand}#${attempt}`;
     const task = this.tasks.get(key);
     if (verb === 'run' && !task) this.run(key, hand, attempt);
