Review stand-ins: no controller outlives a run, and no run outlives 118 s

Change: the script ends its controllers whenever its own process exits, also on a signal or an error, and ends itself with 2 after 118 s.

--- a/review/stand-ins/controllers.mjs
+++ b/review/stand-ins/controllers.mjs
@@ -24,6 +24,8 @@
     this.children = new Map();
     /** Ends of processes that were not killed by the test. */
     this.crashes = [];
+    // However this process ends, it leaves no controller behind.
+    process.once('exit', () => this.close());
   }
 
   start(name) {
--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -12,6 +12,9 @@
 const POLL_TIMEOUT_MS = 2000;
 const REQUEST_TIMEOUT_MS = 5000;
 
+/** A case ends by then, whatever happens. */
+const MAX_RUN_MS = 118_000;
+
 export class Deployment {
   /**
    * `nodes`: `{ name, zone }` of each controller. `machines`: `{ id, rig, hall }`. `settings`: the
@@ -263,15 +266,14 @@
  */
 export async function runCase(scenario) {
   let deployment;
-  const close = () => deployment?.close();
-  process.once('SIGTERM', () => {
-    close();
-    process.exit(2);
-  });
-  process.once('SIGINT', () => {
-    close();
+  const stop = (reason) => {
+    console.error(`the case could not run: ${reason}`);
     process.exit(2);
-  });
+  };
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => stop(signal));
+  process.once('uncaughtException', (error) => stop(error.stack));
+  process.once('unhandledRejection', (error) => stop(error?.stack ?? error));
+  setTimeout(() => stop('it took too long'), MAX_RUN_MS).unref();
   let code = 2;
   try {
     const options = scenario.options ?? {};
@@ -284,6 +286,6 @@
     deployment?.record.add('CHECK', `the case could not run: ${error.stack}`);
     console.error(`the case could not run: ${error.message}`);
   }
-  close();
+  deployment?.close();
   process.exit(code);
 }
