Elections log their term, lease, key version and outcome

Cause: a controller's log showed only the number of a term that it won.

Change: `election finished` names term, lease, outcome and, when won, the version of the leader key. `leader term began` and `leader term ended` name lease and version too. A `LeaderTerm` now knows the lease that it renews. Behaviour is the same.

--- a/src/controller/election/leader-election.ts
+++ b/src/controller/election/leader-election.ts
@@ -16,6 +16,13 @@
 const RETRY_DELAY_RENEWAL_INTERVALS = 0.3;
 const RETRY_JITTER_RENEWAL_INTERVALS = 0.4;
 
+/** What is logged of an election besides its term and lease. */
+type ElectionDetails =
+  | { outcome: 'won'; version: number }
+  | { outcome: 'lost'; failedKeys: string[] }
+  | { outcome: 'unknown'; err: unknown }
+  | { outcome: 'not applied' };
+
 /**
  * The routine that follows the current leader, campaigns when there is none and
  * renews the lease of a term that it won. Safety relies on the state service's
@@ -125,24 +132,31 @@
     try {
       const result = await requestLeadership(ctx, record, lastTerm?.version ?? 0, signal);
       if (!result.ok) {
+        this.logElection(record, { outcome: 'lost', failedKeys: result.failedKeys });
         await ctx.state.revokeLease(lease, signal);
         return;
       }
       version = result.revision;
-    } catch {
+      this.logElection(record, { outcome: 'won', version });
+    } catch (err) {
+      this.logElection(record, { outcome: 'unknown', err });
       const ownVersion = await readBackElection(ctx, record, signal);
-      if (ownVersion === null) return;
+      if (ownVersion === null) {
+        this.logElection(record, { outcome: 'not applied' });
+        return;
+      }
       version = ownVersion;
+      this.logElection(record, { outcome: 'won', version });
     }
-    await this.holdTerm({ number, version, leaseRequestedAt }, lease, signal);
+    await this.holdTerm({ number, lease, version, leaseRequestedAt }, signal);
+  }
+
+  private logElection({ term, lease }: LeaderRecord, details: ElectionDetails): void {
+    this.ctx.log.info({ term, lease, ...details }, 'election finished');
   }
 
   /** Leads until the term ends, then revokes the lease. */
-  private async holdTerm(
-    start: LeaderTermStart,
-    lease: number,
-    signal: AbortSignal,
-  ): Promise<void> {
+  private async holdTerm(start: LeaderTermStart, signal: AbortSignal): Promise<void> {
     const { ctx } = this;
     const term = new LeaderTerm(start, ctx);
     const endTerm = () => term.end();
@@ -150,7 +164,7 @@
     this.beginTerm(term);
     const routines = this.runRoutines(term);
     try {
-      await this.renewUntilEnded(term, lease);
+      await this.renewUntilEnded(term);
     } finally {
       term.end();
       signal.removeEventListener('abort', endTerm);
@@ -160,7 +174,7 @@
       await routines;
     }
     // All routines have ended, so the next leader need not wait for the lease to expire.
-    await ctx.state.revokeLease(lease).catch(() => {});
+    await ctx.state.revokeLease(term.lease).catch(() => {});
   }
 
   private beginTerm(term: LeaderTerm): void {
@@ -168,7 +182,8 @@
     this.leaderNode = this.ctx.node;
     this.observedTerm = term.number;
     this.highestTerm = Math.max(this.highestTerm, term.number);
-    this.ctx.log.info({ term: term.number }, 'leader term began');
+    const { number, lease, version } = term;
+    this.ctx.log.info({ term: number, lease, version }, 'leader term began');
   }
 
   /** Never rejects: an error in the leader's routines ends the term, not the process. */
@@ -180,13 +195,13 @@
     });
   }
 
-  private async renewUntilEnded(term: LeaderTerm, lease: number): Promise<void> {
+  private async renewUntilEnded(term: LeaderTerm): Promise<void> {
     const { clock, timing } = this.ctx;
     try {
       while (!term.signal.aborted) {
         await clock.sleep(timing.renewalIntervalMs, term.signal);
         // Renewals overlap: one slow response must not end the proof, and two must not end the lease.
-        void this.renew(term, lease);
+        void this.renew(term);
       }
     } catch (error) {
       if (!(error instanceof AbortedError)) throw error;
@@ -197,11 +212,11 @@
    * Renews the lease once. Extends the proof of leadership as of the send time, or
    * resigns from a term that can no longer be used.
    */
-  private async renew(term: LeaderTerm, lease: number): Promise<void> {
+  private async renew(term: LeaderTerm): Promise<void> {
     const { clock, state, log } = this.ctx;
     const sentAt = clock.now();
     try {
-      if (await state.renewLease(lease, term.signal)) term.setProvenAt(sentAt);
+      if (await state.renewLease(term.lease, term.signal)) term.setProvenAt(sentAt);
       else term.resign('lease ended');
       if (term.areCancellationsUnknownForTooLong())
         term.resign('cancellations unknown for too long');
--- a/src/controller/election/leader-term.ts
+++ b/src/controller/election/leader-term.ts
@@ -20,6 +20,8 @@
 /** The result of a won election, from which a term starts. */
 export interface LeaderTermStart {
   number: number;
+  /** Id of the lease that the leader key is attached to. */
+  lease: number;
   /** Version of the leader key. */
   version: number;
   /**
@@ -35,6 +37,8 @@
  */
 export class LeaderTerm {
   readonly number: number;
+  /** Id of the lease that the leader key is attached to. Only its renewals prove leadership. */
+  readonly lease: number;
   /**
    * Version of the leader key. Writes of progress and of the demand forecast are
    * conditioned on it.
@@ -58,6 +62,7 @@
     private readonly ctx: Pick<ControllerContext, 'clock' | 'timing' | 'log'>,
   ) {
     this.number = start.number;
+    this.lease = start.lease;
     this.version = start.version;
     this.leaseRequestedAt = start.leaseRequestedAt;
     this.provenAt = start.leaseRequestedAt;
@@ -145,7 +150,8 @@
   /** Gives up leadership and logs the reason. Does nothing once the term has ended. */
   resign(reason: ResignReason): void {
     if (this.signal.aborted) return;
-    this.ctx.log.info({ term: this.number, reason }, 'leader term ended');
+    const { number: term, lease, version } = this;
+    this.ctx.log.info({ term, lease, version, reason }, 'leader term ended');
     this.abortController.abort();
   }
 
--- a/test/external-names.test.ts
+++ b/test/external-names.test.ts
@@ -154,6 +154,7 @@
   'heartbeat carries a higher fencing token',
   'command reply carries a higher fencing token',
   'listening',
+  'election finished',
   'leader term began',
   'failover: state restored',
   'leader term ended',
--- a/test/leader-term.test.ts
+++ b/test/leader-term.test.ts
@@ -8,10 +8,11 @@
 
 function createTerm() {
   const clock = new FakeClock();
-  const logged: { msg: string; term: number; reason: string }[] = [];
+  const logged: { msg: string; term: number; lease: number; version: number; reason: string }[] =
+    [];
   const log = pino({ level: 'info' }, { write: (line: string) => logged.push(JSON.parse(line)) });
   const { timing } = createContext('n-0', new FakeStateService(new FakeStore(clock)), clock);
-  const start = { number: 7, version: 100, leaseRequestedAt: clock.now() };
+  const start = { number: 7, lease: 3, version: 100, leaseRequestedAt: clock.now() };
   return { clock, logged, timing, term: new LeaderTerm(start, { clock, timing, log }) };
 }
 
@@ -83,7 +84,13 @@
     [false, false, false],
   );
   assert.deepEqual(
-    logged.map(({ msg, term: number, reason }) => [msg, number, reason]),
-    [['leader term ended', 7, 'lease ended']],
+    logged.map(({ msg, term: number, lease, version, reason }) => [
+      msg,
+      number,
+      lease,
+      version,
+      reason,
+    ]),
+    [['leader term ended', 7, 3, 100, 'lease ended']],
   );
 });
--- a/test/support/context.ts
+++ b/test/support/context.ts
@@ -1,11 +1,11 @@
 import { pino } from 'pino';
+import type { KeyValueStore } from '../../src/clients/key-value-store.js';
 import { parsePlatformSettings, quotasOf } from '../../src/config/settings.js';
 import { stateLimitsOf } from '../../src/config/state-limits.js';
 import { timingOf } from '../../src/config/timing.js';
 import type { ControllerContext } from '../../src/controller/context.js';
 import type { FakeClock } from './clock.js';
 import { MACHINE_TYPE } from './scheduler.js';
-import type { FakeStateService } from './state.js';
 
 const SETTINGS = {
   size: 3,
@@ -27,7 +27,7 @@
 
 export function createContext(
   node: string,
-  state: FakeStateService,
+  state: KeyValueStore,
   clock: FakeClock,
   nextLimits: NextLimits | null = null,
 ): ControllerContext {
