An election that is applied late is not taken for the last one of its process

Cause: after an election without an answer the leader key is read back, and the record counted as this election's if incarnation and term matched. When the read-back of a first election is refused, its lease goes on and the process stands for the same term again under another lease. If the first transaction is then applied late and the second fails, the second read-back takes the first one's record for its own. The controller renews a lease that the key is not attached to; the key goes with its real lease, another controller is elected, and the first one's renewals go on to "prove" its term.

Invariant: a term is proven only by the lease that its leader key is attached to.

Change: the read-back compares the lease, which no two elections share. A record of another election of this process is handled like one of a previous process: its lease is ended before the process stands again.

--- a/src/controller/election/leader-key.ts
+++ b/src/controller/election/leader-key.ts
@@ -57,14 +57,23 @@
  */
 export async function readBackElection(
   ctx: ControllerContext,
-  { term, lease }: LeaderRecord,
+  record: LeaderRecord,
   signal: AbortSignal,
 ): Promise<number | null> {
   await ctx.clock.sleep(ctx.timing.renewalIntervalMs * READ_BACK_DELAY_RENEWAL_INTERVALS, signal);
   const entry = await ctx.state.get(LEADER_KEY, RequestPriority.leadership, signal);
   const storedRecord = entry ? decodeLeaderRecord(entry.value) : null;
-  if (entry && storedRecord?.incarnation === ctx.incarnation && storedRecord.term === term)
-    return entry.version;
-  await ctx.state.revokeLease(lease, signal);
+  if (entry && storedRecord && isSameElection(storedRecord, record)) return entry.version;
+  await ctx.state.revokeLease(record.lease, signal);
   return null;
 }
+
+/**
+ * Reports whether two records were written by the same election, which its lease
+ * identifies. Term and incarnation do not: a process whose election was not
+ * applied in time stands for the same term again, under another lease, and the
+ * earlier election may still be applied.
+ */
+function isSameElection(a: LeaderRecord, b: LeaderRecord): boolean {
+  return a.lease === b.lease && a.incarnation === b.incarnation && a.term === b.term;
+}
--- a/src/controller/election/leader-term.ts
+++ b/src/controller/election/leader-term.ts
@@ -73,7 +73,9 @@
    * Reports whether leadership is proven now: the lease was granted or renewed by a
    * request that was sent less than `leadershipProofMs` ago, which is three quarters
    * of the lease less the clock drift. Invariant: while this holds, the lease has not
-   * expired, so no other controller can have won an election.
+   * ended, so the leader key still has this term's version and no other controller can
+   * have won an election. This requires that the key was written with this very lease:
+   * the key is written only while it is absent, and deleted only when its lease ends.
    *
    * It is an arrow property because clients take it as a guard that they evaluate
    * when a request is sent.
--- a/test/leader-election.test.ts
+++ b/test/leader-election.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { RequestRefusedError, RequestRejectedError } from '../src/clients/key-value-store.js';
 import { LeaderElection } from '../src/controller/election/leader-election.js';
 import { LEADER_KEY } from '../src/controller/election/leader-key.js';
 import type { LeaderTerm } from '../src/controller/election/leader-term.js';
+import { NoResponseError } from '../src/http/errors.js';
 import { waitWhileLagging } from '../src/runtime/clock.js';
 import { FakeClock } from './support/clock.js';
 import { createContext } from './support/context.js';
@@ -153,6 +155,61 @@
   w.stop.abort();
 });
 
+/** How the last election of a process ends without a usable response. */
+const FAILED_ELECTIONS: [string, () => Error][] = [
+  ['gets no response', () => new NoResponseError('timed out')],
+  ['is refused', () => new RequestRefusedError(100)],
+  ['is rejected', () => new RequestRejectedError('400 no such lease')],
+];
+
+// Guards against two leaders at once: a controller that led under another lease than the one that
+// holds the leader key did not notice when that key was deleted and another controller won.
+for (const [outcome, createError] of FAILED_ELECTIONS)
+  test(`an earlier election that is applied late is not taken for the last one, which ${outcome}`, async () => {
+    const w = createElections();
+    const a = w.node('n-0');
+    const { timing } = a.ctx;
+    const lateElections: (() => void)[] = [];
+    const { transact, get } = a.state;
+    a.state.transact = async (conditions, changes) => {
+      lateElections.push(() => void w.store.transact(conditions, changes));
+      await w.clock.sleep(timing.stateTimeoutMs);
+      throw lateElections.length === 1 ? new NoResponseError('timed out') : createError();
+    };
+    // The read that should show the outcome of the first election is refused.
+    a.state.get = (key) =>
+      key === LEADER_KEY && lateElections.length === 1
+        ? Promise.reject(new RequestRefusedError(100))
+        : get.call(a.state, key);
+    while (lateElections.length < 2) await w.clock.advance(50);
+    a.state.transact = transact;
+    // The first election is applied while the second one, under another lease, waits for its answer.
+    applyLate(lateElections[0]);
+    await w.clock.advance(timing.stateTimeoutMs + timing.renewalIntervalMs);
+    applyLate(lateElections[1]);
+    const b = w.node('n-1');
+    for (let i = 0; i < 200; i++) {
+      await w.clock.advance(50);
+      const proven = w.terms.filter((term) => term.isProven());
+      assert.ok(proven.length <= 1, `terms ${proven.map((term) => term.number)} are proven`);
+      for (const { lease, version } of proven) {
+        const entry = w.store.entries.get(LEADER_KEY);
+        assert.deepEqual([entry?.lease, entry?.version], [lease, version]);
+      }
+    }
+    assert.equal([a, b].filter((n) => n.election.currentTerm).length, 1);
+    w.stop.abort();
+  });
+
+/** Applies a transaction, unless its lease has ended. */
+function applyLate(transaction: (() => void) | undefined): void {
+  try {
+    transaction?.();
+  } catch (error) {
+    assert.match((error as Error).message, /no such lease/);
+  }
+}
+
 test('in a state service outage the leader renews agent leases only as long as the cancellation bound allows', async () => {
   const w = createElections();
   const a = w.node('n-0');
