A leader whose forecast write fails on its leader key ends its term

Cause: the demand store did not look at the result of its conditional write. Only the progress writer ended the term on such a conflict, and a leader that has no progress to write never learned of it.

Change: both go through transactAsLeader, which adds the condition on the leader key and resigns when it fails.

--- a/src/controller/leader/demand-store.ts
+++ b/src/controller/leader/demand-store.ts
@@ -21,9 +21,9 @@
 import { RequestPriority } from '../../runtime/request-budget.js';
 import type { ScaleOutPlanner } from '../../scheduler/scaling/scale-out.js';
 import type { ControllerContext } from '../context.js';
-import { LEADER_KEY } from '../election/leader-key.js';
 import type { LeaderTerm } from '../election/leader-term.js';
 import { retry } from '../retry.js';
+import { transactAsLeader } from './leader-transaction.js';
 
 const DEMAND_KEY = 'loads';
 
@@ -75,12 +75,11 @@
     while (!signal.aborted) {
       await ctx.clock.sleep(ctx.timing.demandSaveIntervalMs, signal);
       try {
-        await ctx.state.transact(
-          [{ key: LEADER_KEY, version: this.term.version }],
-          this.pageChanges(),
-          RequestPriority.progress,
-          signal,
-        );
+        await transactAsLeader(ctx.state, this.term, {
+          conditions: [],
+          changes: this.pageChanges(),
+          priority: RequestPriority.progress,
+        });
       } catch (err) {
         if (signal.aborted) return;
         ctx.log.debug({ err }, 'demand forecast write failed; retrying at the next interval');
--- a/src/controller/leader/progress-writer.ts
+++ b/src/controller/leader/progress-writer.ts
@@ -8,7 +8,11 @@
  * durable: `DurableWrite.applied`) and 10 (a write without a response may still
  * be applied: `DurableWrite.retry(true)`).
  */
-import { RequestRefusedError, RequestRejectedError } from '../../clients/key-value-store.js';
+import {
+  RequestRefusedError,
+  RequestRejectedError,
+  type TransactionResult,
+} from '../../clients/key-value-store.js';
 import { MAX_TRANSACTION_VALUE_BYTES } from '../../records/value-sizes.js';
 import { AbortedError } from '../../runtime/clock.js';
 import { RequestPriority } from '../../runtime/request-budget.js';
@@ -17,8 +21,8 @@
 import { collectPendingWrites } from '../../scheduler/persistence/pending-writes.js';
 import type { ClusterState } from '../../scheduler/state/cluster-state.js';
 import type { ControllerContext } from '../context.js';
-import { LEADER_KEY } from '../election/leader-key.js';
 import type { LeaderTerm } from '../election/leader-term.js';
+import { failedOnLeaderKey, transactAsLeader } from './leader-transaction.js';
 
 /**
  * Share of the allowed changes per second that progress may use. The rest is left
@@ -124,13 +128,12 @@
   private async write(batch: readonly DurableWrite[]): Promise<BatchOutcome> {
     const { term, ctx } = this;
     try {
-      const result = await ctx.state.transact(
-        [{ key: LEADER_KEY, version: term.version }, ...batch.flatMap((write) => write.conditions)],
-        batch.flatMap((write) => write.changes),
-        RequestPriority.completions,
-        term.signal,
-      );
-      if (!result.ok) return this.handleFailedConditions(batch, result.failedKeys);
+      const result = await transactAsLeader(ctx.state, term, {
+        conditions: batch.flatMap((write) => write.conditions),
+        changes: batch.flatMap((write) => write.changes),
+        priority: RequestPriority.completions,
+      });
+      if (!result.ok) return this.handleFailedConditions(batch, result);
       for (const write of batch) write.applied(result.revision);
       return 'settled';
     } catch (err) {
@@ -148,13 +151,13 @@
     }
   }
 
-  /** Handles a transaction that was not applied because its conditions on `failedKeys` did not hold. */
+  /** Handles a transaction that was not applied because some of its conditions did not hold. */
   private handleFailedConditions(
     batch: readonly DurableWrite[],
-    failedKeys: string[],
+    result: TransactionResult,
   ): BatchOutcome {
-    if (failedKeys.includes(LEADER_KEY)) {
-      this.term.resign('leader key held by another controller');
+    const { failedKeys } = result;
+    if (failedOnLeaderKey(result)) {
       for (const write of batch) write.retry(false);
       return 'postponed';
     }
