A process ends the lease of an unwon election before it stands again or stops

An election whose process had given it up could take the leader key, and nobody led until its lease had ended or the process had found the record.

Cause: three ways out of an election left its lease alive, so that its transaction could still be applied: a read-back that was refused or unanswered, an end of the lease that failed, and a process that was stopped during the election.

Change: the lease is remembered until the election is won or the lease is known to have ended. It is ended at once, or else before the next campaign and when the process stops. A refused request is not read back, since it was not carried out.

Tests, both seen to fail before: leader-election "a process ends the lease of an election without an outcome before it campaigns again" (nothing was ended) and "a process that stops during its election ends the lease" (applied late).

--- a/src/controller/election/leader-election.ts
+++ b/src/controller/election/leader-election.ts
@@ -2,6 +2,7 @@
  * Leader election: follows the current leader, campaigns when there is none, and
  * holds a term that was won.
  */
+import { RequestRefusedError } from '../../clients/key-value-store.js';
 import { decodeLeaderRecord, decodeTerm, type LeaderRecord } from '../../records/leader-record.js';
 import { AbortedError, sleepUntilAborted } from '../../runtime/clock.js';
 import { RequestPriority } from '../../runtime/request-budget.js';
@@ -20,6 +21,7 @@
 type ElectionDetails =
   | { outcome: 'won'; version: number }
   | { outcome: 'lost'; failedKeys: string[] }
+  | { outcome: 'refused' }
   | { outcome: 'unknown'; err: unknown }
   | { outcome: 'not applied' };
 
@@ -41,6 +43,11 @@
   highestTerm = 0;
   /** The term that this controller holds; null while it does not lead. */
   currentTerm: LeaderTerm | null = null;
+  /**
+   * Lease of the latest election of this process, until the election is won or the
+   * lease is known to have ended. As long as it lasts, the election may be applied.
+   */
+  private undecidedLease: number | null = null;
   private outageLogged = false;
 
   constructor(
@@ -51,6 +58,12 @@
 
   /** Takes part in elections until the signal is aborted, which also ends the current term. */
   async run(signal: AbortSignal): Promise<void> {
+    await this.takePart(signal);
+    // An election that was interrupted must not be applied later.
+    await this.endUndecidedLease().catch(() => {});
+  }
+
+  private async takePart(signal: AbortSignal): Promise<void> {
     const { ctx } = this;
     while (!signal.aborted) {
       try {
@@ -117,38 +130,71 @@
   /**
    * Campaigns for the term after the last one, and holds it if the election is won.
    * Only one of several candidates wins, since the leader key must be absent and
-   * the term unchanged. The outcome of a transaction without a response is read
-   * back before it is acted on.
+   * the term unchanged. If the outcome of this process's previous election is not
+   * known, its lease is ended first, so that it is not applied late.
    */
   private async campaign(signal: AbortSignal): Promise<void> {
     const { ctx } = this;
+    await this.endUndecidedLease(signal);
     const lastTerm = await ctx.state.get(TERM_KEY, RequestPriority.leadership, signal);
     const number = (decodeTerm(lastTerm?.value) ?? 0) + 1;
     const leaseRequestedAt = ctx.clock.now();
     const lease = await ctx.state.grantLease(ctx.timing.leaderLeaseMs, signal);
+    this.undecidedLease = lease;
     const { node, incarnation } = ctx;
     const record: LeaderRecord = { node, incarnation, term: number, lease };
-    let version: number;
+    const version = await this.requestTerm(record, lastTerm?.version ?? 0, signal);
+    if (version === null) {
+      await this.endUndecidedLease(signal);
+      return;
+    }
+    this.undecidedLease = null;
+    await this.holdTerm({ number, lease, version, leaseRequestedAt }, signal);
+  }
+
+  /**
+   * Requests the record's term; the outcome of a transaction without a response is
+   * read back before it is acted on. Returns the version of the leader key; null when
+   * the election is lost. Rejects when the request was refused or its outcome can't be
+   * read.
+   */
+  private async requestTerm(
+    record: LeaderRecord,
+    lastTermVersion: number,
+    signal: AbortSignal,
+  ): Promise<number | null> {
+    const { ctx } = this;
     try {
-      const result = await requestLeadership(ctx, record, lastTerm?.version ?? 0, signal);
+      const result = await requestLeadership(ctx, record, lastTermVersion, signal);
       if (!result.ok) {
         this.logElection(record, { outcome: 'lost', failedKeys: result.failedKeys });
-        await ctx.state.revokeLease(lease, signal);
-        return;
+        return null;
       }
-      version = result.revision;
-      this.logElection(record, { outcome: 'won', version });
+      this.logElection(record, { outcome: 'won', version: result.revision });
+      return result.revision;
     } catch (err) {
-      this.logElection(record, { outcome: 'unknown', err });
-      const ownVersion = await readBackElection(ctx, record, signal);
-      if (ownVersion === null) {
-        this.logElection(record, { outcome: 'not applied' });
-        return;
+      if (err instanceof RequestRefusedError) {
+        this.logElection(record, { outcome: 'refused' });
+        throw err;
       }
-      version = ownVersion;
-      this.logElection(record, { outcome: 'won', version });
+      this.logElection(record, { outcome: 'unknown', err });
     }
-    await this.holdTerm({ number, lease, version, leaseRequestedAt }, signal);
+    const version = await readBackElection(ctx, record, signal);
+    this.logElection(
+      record,
+      version === null ? { outcome: 'not applied' } : { outcome: 'won', version },
+    );
+    return version;
+  }
+
+  /**
+   * Ends the lease of an election that was not won. Each way out of such an election
+   * ends it here or leaves it to the next campaign or to the end of the process.
+   */
+  private async endUndecidedLease(signal?: AbortSignal): Promise<void> {
+    if (this.undecidedLease === null) return;
+    await this.ctx.state.revokeLease(this.undecidedLease, signal);
+    this.undecidedLease = null;
   }
 
   private logElection({ term, lease }: LeaderRecord, details: ElectionDetails): void {
--- a/src/controller/election/leader-key.ts
+++ b/src/controller/election/leader-key.ts
@@ -52,8 +52,8 @@
 /**
  * Determines the outcome of an election whose transaction got no response: it may
  * have been applied, may be applied later, or never. Returns the version of the
- * leader key if this controller won. Otherwise revokes the lease, so that a late
- * copy of the transaction is refused, and returns null.
+ * leader key if this controller won, otherwise null. The caller must then revoke
+ * the lease of the record, so that a late copy of the transaction is refused.
  */
 export async function readBackElection(
   ctx: ControllerContext,
@@ -63,9 +63,7 @@
   await ctx.clock.sleep(ctx.timing.renewalIntervalMs * READ_BACK_DELAY_RENEWAL_INTERVALS, signal);
   const entry = await ctx.state.get(LEADER_KEY, RequestPriority.leadership, signal);
   const storedRecord = entry ? decodeLeaderRecord(entry.value) : null;
-  if (entry && storedRecord && isSameElection(storedRecord, record)) return entry.version;
-  await ctx.state.revokeLease(record.lease, signal);
-  return null;
+  return entry && storedRecord && isSameElection(storedRecord, record) ? entry.version : null;
 }
 
 /**
--- a/test/election-history.test.ts
+++ b/test/election-history.test.ts
@@ -267,6 +267,6 @@
   }
   t.diagnostic(`${SEEDS} histories, ${terms} terms, outcomes ${JSON.stringify([...outcomes])}`);
   assert.ok(terms > SEEDS * 3, `only ${terms} terms`);
-  for (const outcome of ['won', 'lost', 'unknown', 'not applied'])
+  for (const outcome of ['won', 'lost', 'refused', 'unknown', 'not applied'])
     assert.ok((outcomes.get(outcome) ?? 0) > SEEDS / 2, `${outcome}: ${outcomes.get(outcome)}`);
 });
--- a/test/leader-election.test.ts
+++ b/test/leader-election.test.ts
@@ -201,6 +201,65 @@
     w.stop.abort();
   });
 
+// Guards against a leader key that nobody renews: an election that nobody waits for any more took
+// the key, and no controller could lead before its lease had ended.
+test('a process ends the lease of an election without an outcome before it campaigns again', async () => {
+  const w = createElections();
+  const a = w.node('n-0');
+  const { transact, get } = a.state;
+  const elections: { lease: number | undefined; apply: () => void }[] = [];
+  a.state.transact = (conditions, changes) => {
+    const [leaderChange] = changes;
+    elections.push({
+      lease: leaderChange?.op === 'put' ? leaderChange.lease : undefined,
+      apply: () => void w.store.transact(conditions, changes),
+    });
+    return Promise.reject(new NoResponseError('timed out'));
+  };
+  let refusedReads = 0;
+  a.state.get = (key) => {
+    if (key !== LEADER_KEY) return get.call(a.state, key);
+    refusedReads++;
+    return Promise.reject(new RequestRefusedError(100));
+  };
+  while (refusedReads < 1) await w.clock.advance(10);
+  assert.equal(elections.length, 1);
+  a.state.transact = transact;
+  a.state.get = get;
+  const revoked: number[] = [];
+  const { revokeLease, grantLease } = a.state;
+  a.state.revokeLease = (lease) => {
+    revoked.push(lease);
+    return revokeLease.call(a.state, lease);
+  };
+  let revokedBeforeGrant: number[] | null = null;
+  a.state.grantLease = (ttlMs) => {
+    revokedBeforeGrant ??= [...revoked];
+    return grantLease.call(a.state, ttlMs);
+  };
+  while (!a.election.currentTerm) await w.clock.advance(10);
+  assert.deepEqual(revokedBeforeGrant, [elections[0]?.lease]);
+  assert.throws(() => elections[0]?.apply(), /no such lease/);
+  w.stop.abort();
+});
+
+// Guards against a leader key that nobody renews, left by a process that was stopped in order.
+test('a process that stops during its election ends the lease, so that the election is not applied later', async () => {
+  const w = createElections();
+  const a = w.node('n-0');
+  let applyElection: (() => void) | null = null;
+  a.state.transact = (conditions, changes, _priority, signal) => {
+    applyElection = () => void w.store.transact(conditions, changes);
+    return new Promise((_resolve, reject) => {
+      signal?.addEventListener('abort', () => reject(new NoResponseError('request aborted')));
+    });
+  };
+  while (!applyElection) await w.clock.advance(10);
+  w.stop.abort();
+  await a.done;
+  assert.throws(applyElection, /no such lease/);
+});
+
 /** Applies a transaction, unless its lease has ended. */
 function applyLate(transaction: (() => void) | undefined): void {
   try {
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -11,6 +11,7 @@
   Entry,
   StoreEvent,
 } from '../../src/protocol/key-value-protocol.js';
+import type { RequestPriority } from '../../src/runtime/request-budget.js';
 import type { FakeClock } from './clock.js';
 
 /**
@@ -195,7 +196,12 @@
     });
   }
 
-  transact(conditions: Condition[], changes: Change[]): Promise<TransactionResult> {
+  transact(
+    conditions: Condition[],
+    changes: Change[],
+    _priority?: RequestPriority,
+    _signal?: AbortSignal,
+  ): Promise<TransactionResult> {
     this.requests++;
     this.onTransact(changes);
     if (!this.refused && this.fault !== 'dead' && this.delaysNextTransaction()) {
