An election that is answered after a later term is known begins no term

A process that was suspended during its election could begin a term that was over, call itself leader to its peers and answer agents under the old token until its first renewal.

Cause: a peer's later term ends the current term, but while an election is under way there is none, and the term that was won began without a look at it.

Change: such an election begins no term, and its lease is ended.

Test: leader-election "an election that is answered after a later term is known begins no term" failed before (the old term had begun) and passes now.

--- a/src/controller/election/leader-election.ts
+++ b/src/controller/election/leader-election.ts
@@ -144,7 +144,9 @@
     const { node, incarnation } = ctx;
     const record: LeaderRecord = { node, incarnation, term: number, lease };
     const version = await this.requestTerm(record, lastTerm?.version ?? 0, signal);
-    if (version === null) {
+    // A late answer may arrive when this term is already over.
+    const isOver = this.highestTerm > number;
+    if (version === null || isOver) {
       await this.endUndecidedLease(signal);
       return;
     }
--- a/test/leader-election.test.ts
+++ b/test/leader-election.test.ts
@@ -260,6 +260,36 @@
   assert.throws(applyElection, /no such lease/);
 });
 
+// Guards against a term that begins although a later one is known, as in a process that was suspended
+// while its election waited for the answer: it answered agents and called itself leader to its peers.
+test('an election that is answered after a later term is known begins no term', async () => {
+  const w = createElections();
+  const a = w.node('n-0');
+  const { transact } = a.state;
+  let answer: (() => void) | null = null;
+  a.state.transact = async (conditions, changes) => {
+    const result = await transact.call(a.state, conditions, changes);
+    await new Promise<void>((resolve) => {
+      answer = resolve;
+    });
+    return result;
+  };
+  while (!answer) await w.clock.advance(10);
+  a.state.transact = transact;
+  await w.clock.advance(a.ctx.timing.leaderLeaseMs * 1.1);
+  const b = w.node('n-1');
+  await w.clock.advance(1000);
+  const later = b.election.currentTerm;
+  assert.ok(later);
+  a.election.observeTerm(later.number);
+  (answer as () => void)();
+  await w.clock.advance(a.ctx.timing.renewalIntervalMs / 2);
+  assert.deepEqual(w.terms, [later]);
+  assert.equal(a.election.leaderNode, 'n-1');
+  assert.ok(later.isProven());
+  w.stop.abort();
+});
+
 /** Applies a transaction, unless its lease has ended. */
 function applyLate(transaction: (() => void) | undefined): void {
   try {
