Term requests and lease renewal in modules of their own; one seeded generator

Cause: leader-election.ts had grown to 280 lines and held three things: following and campaigning, the request for a term with its read-back, and the renewal of a term's lease. Two history tests built the same seeded generator.

Change: term-request.ts asks for a term, determines the outcome and logs it; lease-renewal.ts renews the lease of a term; leader-key.ts has only the keys. test/support/seeded-random.ts serves both tests. Behaviour is the same.

--- a/src/controller/election/leader-election.ts
+++ b/src/controller/election/leader-election.ts
@@ -2,13 +2,14 @@
  * Leader election: follows the current leader, campaigns when there is none, and
  * holds a term that was won.
  */
-import { RequestRefusedError } from '../../clients/key-value-store.js';
 import { decodeLeaderRecord, decodeTerm, type LeaderRecord } from '../../records/leader-record.js';
 import { AbortedError, sleepUntilAborted } from '../../runtime/clock.js';
 import { RequestPriority } from '../../runtime/request-budget.js';
 import type { ControllerContext } from '../context.js';
-import { LEADER_KEY, readBackElection, requestLeadership, TERM_KEY } from './leader-key.js';
+import { LEADER_KEY, TERM_KEY } from './leader-key.js';
 import { LeaderTerm, type LeaderTermStart } from './leader-term.js';
+import { renewUntilTermEnds } from './lease-renewal.js';
+import { requestTerm } from './term-request.js';
 
 /**
  * A failed attempt is retried after this delay plus a random part of the jitter,
@@ -17,14 +18,6 @@
 const RETRY_DELAY_RENEWAL_INTERVALS = 0.3;
 const RETRY_JITTER_RENEWAL_INTERVALS = 0.4;
 
-/** What is logged of an election besides its term and lease. */
-type ElectionDetails =
-  | { outcome: 'won'; version: number }
-  | { outcome: 'lost'; failedKeys: string[] }
-  | { outcome: 'refused' }
-  | { outcome: 'unknown'; err: unknown }
-  | { outcome: 'not applied' };
-
 /**
  * The routine that follows the current leader, campaigns when there is none and
  * renews the lease of a term that it won. Safety relies on the state service's
@@ -143,7 +136,7 @@
     this.undecidedLease = lease;
     const { node, incarnation } = ctx;
     const record: LeaderRecord = { node, incarnation, term: number, lease };
-    const version = await this.requestTerm(record, lastTerm?.version ?? 0, signal);
+    const version = await requestTerm(ctx, record, lastTerm?.version ?? 0, signal);
     // A late answer may arrive when this term is already over.
     const isOver = this.highestTerm > number;
     if (version === null || isOver) {
@@ -154,41 +147,6 @@
     await this.holdTerm({ number, lease, version, leaseRequestedAt }, signal);
   }
 
-  /**
-   * Requests the record's term; the outcome of a transaction without a response is
-   * read back before it is acted on. Returns the version of the leader key; null when
-   * the election is lost. Rejects when the request was refused or its outcome can't be
-   * read.
-   */
-  private async requestTerm(
-    record: LeaderRecord,
-    lastTermVersion: number,
-    signal: AbortSignal,
-  ): Promise<number | null> {
-    const { ctx } = this;
-    try {
-      const result = await requestLeadership(ctx, record, lastTermVersion, signal);
-      if (!result.ok) {
-        this.logElection(record, { outcome: 'lost', failedKeys: result.failedKeys });
-        return null;
-      }
-      this.logElection(record, { outcome: 'won', version: result.revision });
-      return result.revision;
-    } catch (err) {
-      if (err instanceof RequestRefusedError) {
-        this.logElection(record, { outcome: 'refused' });
-        throw err;
-      }
-      this.logElection(record, { outcome: 'unknown', err });
-    }
-    const version = await readBackElection(ctx, record, signal);
-    this.logElection(
-      record,
-      version === null ? { outcome: 'not applied' } : { outcome: 'won', version },
-    );
-    return version;
-  }
-
   /**
    * Ends the lease of an election that was not won. Each way out of such an election
    * ends it here or leaves it to the next campaign or to the end of the process.
@@ -199,10 +157,6 @@
     this.undecidedLease = null;
   }
 
-  private logElection({ term, lease }: LeaderRecord, details: ElectionDetails): void {
-    this.ctx.log.info({ term, lease, ...details }, 'election finished');
-  }
-
   /** Leads until the term ends, then revokes the lease. */
   private async holdTerm(start: LeaderTermStart, signal: AbortSignal): Promise<void> {
     const { ctx } = this;
@@ -212,7 +166,7 @@
     this.beginTerm(term);
     const routines = this.runRoutines(term);
     try {
-      await this.renewUntilEnded(term);
+      await renewUntilTermEnds(ctx, term);
     } finally {
       term.end();
       signal.removeEventListener('abort', endTerm);
@@ -242,39 +196,4 @@
       term.resign('leader routines failed');
     });
   }
-
-  private async renewUntilEnded(term: LeaderTerm): Promise<void> {
-    const { clock, timing } = this.ctx;
-    try {
-      while (!term.signal.aborted) {
-        await clock.sleep(timing.renewalIntervalMs, term.signal);
-        // Renewals overlap: one slow response must not end the proof, and two must not end the lease.
-        void this.renew(term);
-      }
-    } catch (error) {
-      if (!(error instanceof AbortedError)) throw error;
-    }
-  }
-
-  /**
-   * Renews the lease once. Extends the proof of leadership as of the send time, or
-   * resigns from a term that can no longer be used.
-   */
-  private async renew(term: LeaderTerm): Promise<void> {
-    const { clock, state, log } = this.ctx;
-    const sentAt = clock.now();
-    try {
-      if (await state.renewLease(term.lease, term.signal)) term.setProvenAt(sentAt);
-      else term.resign('lease ended');
-      if (term.areCancellationsUnknownForTooLong())
-        term.resign('cancellations unknown for too long');
-    } catch (err) {
-      if (term.signal.aborted) return;
-      log.debug(
-        { err },
-        'lease renewal failed; retrying at the next renewal interval while the term lasts',
-      );
-      if (term.isUnprovenForTooLong()) term.resign('leadership unproven for too long');
-    }
-  }
 }
--- a/test/combined-failures-history.test.ts
+++ b/test/combined-failures-history.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { ScriptedController } from './support/controller.js';
 import type { ScriptedMachine } from './support/scripted-machine.js';
+import { seededRandom } from './support/seeded-random.js';
 import { World } from './support/world.js';
 
 const SEEDS = 12;
@@ -14,7 +13,6 @@
  */
 const UPGRADE_STEPS = [3, 6, 9];
 const LIMITS_LOWERED_STEP = 13;
-const RANDOM_RANGE = 2 ** 24;
 
 /** A history of random failures, each with a random duration, so that several overlap. */
 class FailureHistory {
@@ -226,8 +224,7 @@
   let dependent = 0;
   let cascaded = 0;
   for (let seed = 1; seed <= SEEDS; seed++) {
-    const rng = xoroshiro128plus(seed);
-    const random = () => uniformInt(rng, 0, RANDOM_RANGE - 1) / RANDOM_RANGE;
+    const random = seededRandom(seed);
     // The jitter of the controllers' routines is drawn from the seed as well.
     const jitter = t.mock.method(Math, 'random', random);
     const history = new FailureHistory(random, seed % 2 === 0);
--- a/test/election-history.test.ts
+++ b/test/election-history.test.ts
@@ -1,21 +1,19 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { pino } from 'pino';
-import { uniformInt } from 'pure-rand/distribution/uniformInt';
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { LeaderElection } from '../src/controller/election/leader-election.js';
 import { LEADER_KEY } from '../src/controller/election/leader-key.js';
 import type { LeaderTerm } from '../src/controller/election/leader-term.js';
 import { FakeClock } from './support/clock.js';
 import { createContext } from './support/context.js';
 import { type FaultShares, FaultyStateService, NO_FAULTS } from './support/faulty-state.js';
+import { seededRandom } from './support/seeded-random.js';
 import { FakeStore } from './support/state.js';
 
 /** Number of histories; a soak that is started by hand sets more, and its first seed. */
 const SEEDS = Number(process.env.ELECTION_SEEDS ?? 120);
 const FIRST_SEED = Number(process.env.ELECTION_FIRST_SEED ?? 1);
 
-const RANDOM_RANGE = 2 ** 24;
 const STEP_MS = 25;
 const TROUBLED_MS = 90_000;
 /** The longest late request, the leases of the last elections and a few attempts. */
@@ -248,8 +246,7 @@
   const outcomes = new Map<string, number>();
   let terms = 0;
   for (let seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
-    const rng = xoroshiro128plus(seed);
-    const random = () => uniformInt(rng, 0, RANDOM_RANGE - 1) / RANDOM_RANGE;
+    const random = seededRandom(seed);
     // The jitter of the retries is drawn from the seed as well.
     const jitter = t.mock.method(Math, 'random', random);
     const history = new ElectionHistory(random, 1 + (seed % NODES.length));
