--- a/src/controller/heartbeats/mailbox.ts
+++ b/src/controller/heartbeats/mailbox.ts
@@ -162,10 +162,10 @@
   private async respond(senderSlot: string, request: MailboxRequest): Promise<void> {
     const { ctx } = this;
     const value = await this.onRequest(request.text);
-    const { requestNumber: n, incarnation } = request;
+    const { requestNumber, incarnation } = request;
     const response = encodeMailboxResponse({
       kind: 'answer',
-      requestNumber: n,
+      requestNumber,
       incarnation,
       value,
     });
--- a/src/controller/membership/peer-handlers.ts
+++ b/src/controller/membership/peer-handlers.ts
@@ -52,11 +52,11 @@
         await handlers.handleHeartbeat(Buffer.from(payload as Uint8Array)),
       );
     case PEER_OPERATIONS.announceCancellation: {
-      const { jobId: job, revision }: CancellationNotice = mapIfObject(
+      const { jobId, revision }: CancellationNotice = mapIfObject(
         payload,
         decodeCancellationNotice,
       );
-      handlers.announceCancellation(job, revision);
+      handlers.announceCancellation(jobId, revision);
       return null;
     }
     case PEER_OPERATIONS.serveUser: {
--- a/src/scheduler/scaling/capacity-backoff.ts
+++ b/src/scheduler/scaling/capacity-backoff.ts
@@ -6,7 +6,7 @@
 /** The delay after a refusal doubles at most this many times. */
 const MAX_BACKOFF_DOUBLINGS = 2;
 /** Boot time, in seconds, from which the delay is derived when the type is no longer known. */
-const UNKNOWN_TYPE_BOOT_S = 30;
+const UNKNOWN_TYPE_BACKOFF_BOOT_S = 30;
 
 /** A pool of the cloud: the on-demand or the spot machines of one type in one zone. */
 export interface MachinePool {
@@ -41,7 +41,7 @@
     const key = machinePoolKey(pool.type, pool.zone, pool.spot);
     const previous = this.byPool.get(key);
     const doublings = previous ? Math.min(previous.doublings + 1, MAX_BACKOFF_DOUBLINGS) : 0;
-    const bootS = this.cluster.machineTypes.get(pool.type)?.bootS ?? UNKNOWN_TYPE_BOOT_S;
+    const bootS = this.cluster.machineTypes.get(pool.type)?.bootS ?? UNKNOWN_TYPE_BACKOFF_BOOT_S;
     this.byPool.set(key, {
       until: now + this.initialDelayMs(bootS) * 2 ** doublings,
       doublings,
