Log how long the event loop was held and by what

Whether a controller that stops answering computes, and on what, could not be told from its log: nothing was logged between "leader term began" and the end of the lease.

Synchronous work of a leader (job lists and events, restored records, rounds, scaling plans, machine lists, collected progress, heartbeats, cancellations) is measured.

--- a/src/controller/leader/dependency-resolver.ts
+++ b/src/controller/leader/dependency-resolver.ts
@@ -12,6 +12,7 @@
 import type { Job } from '../../scheduler/state/task-attempt.js';
 import type { JobStore } from '../api/job-store.js';
 import type { ControllerContext } from '../context.js';
+import { measureHold } from '../event-loop-hold.js';
 
 /** Maximum number of dependency lists read concurrently. */
 const MAX_CONCURRENT_READS = 8;
@@ -77,7 +78,8 @@
       RequestPriority.completions,
       signal,
     );
-    if (ids) this.cluster.addReadDependencies(job, ids);
+    if (!ids) return;
+    measureHold(this.ctx, 'dependencies read', () => this.cluster.addReadDependencies(job, ids));
   }
 
   /**
@@ -87,8 +89,10 @@
   private async readEnds(ids: readonly string[], signal: AbortSignal): Promise<void> {
     if (ids.length === 0) return;
     const ends = await this.store.findManyEnded(ids, RequestPriority.completions, signal);
-    for (const [id, { record }] of ends)
-      this.cluster.endJob(id, { state: record.state, at: record.at ?? null });
+    measureHold(this.ctx, 'job ends applied', () => {
+      for (const [id, { record }] of ends)
+        this.cluster.endJob(id, { state: record.state, at: record.at ?? null });
+    });
     const missing = ids.find((id) => !ends.has(id));
     if (missing !== undefined) throw new MissingDependencyError(missing);
   }
--- a/src/controller/leader/fleet-controller.ts
+++ b/src/controller/leader/fleet-controller.ts
@@ -17,6 +17,7 @@
 import type { ClusterState } from '../../scheduler/state/cluster-state.js';
 import type { ControllerContext } from '../context.js';
 import type { LeaderTerm } from '../election/leader-term.js';
+import { measureHold } from '../event-loop-hold.js';
 import { storeMachineTypes } from '../machine-types.js';
 
 type MachinePage = Awaited<ReturnType<CloudClient['list']>>;
@@ -75,8 +76,10 @@
         // The list proves absence only as of the time of the request.
         const requestedAt = ctx.clock.now();
         const machines = await this.listAllMachines(signal);
-        cluster.applyMachineList(machines, requestedAt, ctx.clock.now());
-        this.closeStaleConnections();
+        measureHold(ctx, 'machine list applied', () => {
+          cluster.applyMachineList(machines, requestedAt, ctx.clock.now());
+          this.closeStaleConnections();
+        });
       } catch (err) {
         if (signal.aborted) return;
         ctx.log.debug({ err }, 'machine list request failed; retrying at the next interval');
@@ -120,8 +123,10 @@
       if (!this.term.isProven()) continue;
       const now = clock.now();
       // Scale-out first: its plan marks the machines that are candidates for scale-in.
-      const provisions = scaleOut.plan(now);
-      const terminations = scaleIn.plan(now).slice(0, this.maxTerminations());
+      const { provisions, terminations } = measureHold(ctx, 'scaling planned', () => ({
+        provisions: scaleOut.plan(now),
+        terminations: scaleIn.plan(now).slice(0, this.maxTerminations()),
+      }));
       planningMs = clock.now() - now;
       for (let from = 0; from < terminations.length; from += MAX_MACHINES_PER_TERMINATION)
         await this.terminate(terminations.slice(from, from + MAX_MACHINES_PER_TERMINATION), signal);
--- a/src/controller/leader/job-watch.ts
+++ b/src/controller/leader/job-watch.ts
@@ -13,6 +13,7 @@
 import type { ClusterState } from '../../scheduler/state/cluster-state.js';
 import type { ControllerContext } from '../context.js';
 import type { LeaderTerm } from '../election/leader-term.js';
+import { measureHold } from '../event-loop-hold.js';
 import { retry } from '../retry.js';
 import type { AgentCommands } from './agent-commands.js';
 import { jobIdOf, type LiveJobLoader } from './live-jobs.js';
@@ -42,14 +43,16 @@
         ctx.state.watch(LIVE_JOB_PREFIX, after, ctx.timing.jobWatchTimeoutMs, callSignal),
       );
       if (changes) {
-        for (const event of changes.events) this.applyEvent(event);
+        measureHold(ctx, 'job events applied', () => {
+          for (const event of changes.events) this.applyEvent(event);
+        });
         appliedRevision = changes.revision;
       } else {
         // The revision is too old to be watched, or too much has changed since. That says nothing
         // about the jobs, so all of them are read again.
         requestedAt = ctx.clock.now();
         const live = await readPrefixSnapshot(ctx, LIVE_JOB_PREFIX, signal);
-        this.applyCompleteList(live.entries);
+        measureHold(ctx, 'job list applied', () => this.applyCompleteList(live.entries));
         appliedRevision = live.revision;
       }
       cluster.recordAppliedJobRevision(appliedRevision);
--- a/src/controller/leader/leader.ts
+++ b/src/controller/leader/leader.ts
@@ -22,6 +22,7 @@
 import { JobStore } from '../api/job-store.js';
 import type { ControllerContext } from '../context.js';
 import type { LeaderTerm } from '../election/leader-term.js';
+import { measureHold } from '../event-loop-hold.js';
 import { AgentCommands } from './agent-commands.js';
 import { DemandStore } from './demand-store.js';
 import { DependencyListCleaner } from './dependency-list-cleaner.js';
@@ -173,7 +174,9 @@
    * confirmation.
    */
   announceCancellation(id: string, revision: number): void {
-    this.cluster.announceCancellation(id, revision);
+    measureHold(this.ctx, 'cancellation applied', () =>
+      this.cluster.announceCancellation(id, revision),
+    );
     this.commands.deferSendPending();
   }
 
@@ -193,7 +196,9 @@
    * heartbeat.
    */
   handleHeartbeat(heartbeat: Heartbeat, relayed: boolean): HeartbeatResponse {
-    return this.heartbeatProcessor.process(heartbeat, relayed);
+    return measureHold(this.ctx, 'heartbeat applied', () =>
+      this.heartbeatProcessor.process(heartbeat, relayed),
+    );
   }
 
   /**
--- a/src/controller/leader/progress-writer.ts
+++ b/src/controller/leader/progress-writer.ts
@@ -22,6 +22,7 @@
 import type { ClusterState } from '../../scheduler/state/cluster-state.js';
 import type { ControllerContext } from '../context.js';
 import type { LeaderTerm } from '../election/leader-term.js';
+import { measureHold } from '../event-loop-hold.js';
 import { failedOnLeaderKey, transactAsLeader } from './leader-transaction.js';
 
 /**
@@ -72,10 +73,10 @@
       await ctx.clock.sleep(intervalMs, signal);
       budget = Math.min(budget + changesPerInterval, loweredChangesPerS * PROGRESS_BURST_S);
       await this.rereadUnknownChunkVersions(signal);
-      const writes = collectPendingWrites(cluster, {
-        progressChanges: budget,
-        wallNow: ctx.clock.wall(),
-      });
+      const writeBudget = { progressChanges: budget, wallNow: ctx.clock.wall() };
+      const writes = measureHold(ctx, 'progress collected', () =>
+        collectPendingWrites(cluster, writeBudget),
+      );
       let from = 0;
       while (from < writes.length) {
         const batch = this.nextBatch(writes, from);
--- a/src/controller/leader/scheduling-loop.ts
+++ b/src/controller/leader/scheduling-loop.ts
@@ -12,6 +12,7 @@
 import type { ClusterState } from '../../scheduler/state/cluster-state.js';
 import type { ControllerContext } from '../context.js';
 import type { LeaderTerm } from '../election/leader-term.js';
+import { measureHold } from '../event-loop-hold.js';
 import type { AgentCommands } from './agent-commands.js';
 
 /** After a round, this many times its duration is left for heartbeats and the job API. */
@@ -51,7 +52,7 @@
       // Machines may seem silent only because this process was not running.
       if (now - dueAt > timing.lagThresholdMs) cluster.markLagging(now);
       if (!term.mayStartTasks() || !this.isRoundDue(now)) continue;
-      if (this.runRound(now)) cluster.roundDue = true;
+      if (measureHold(ctx, 'placement round', () => this.runRound(now))) cluster.roundDue = true;
       // The larger the cluster, the longer a round takes. The pause grows with it, so that
       // heartbeats and users are served in between.
       pauseMs = Math.max(pauseMs, (clock.now() - now) * ROUND_PAUSE_RATIO);
--- a/src/controller/leader/state-restoration.ts
+++ b/src/controller/leader/state-restoration.ts
@@ -23,6 +23,7 @@
 import type { ClusterState } from '../../scheduler/state/cluster-state.js';
 import type { ControllerContext } from '../context.js';
 import type { LeaderTerm } from '../election/leader-term.js';
+import { measureHold } from '../event-loop-hold.js';
 import { readMachineTypes } from '../machine-types.js';
 import { retry } from '../retry.js';
 import type { DemandStore } from './demand-store.js';
@@ -77,17 +78,19 @@
       );
     cluster.updateMachineTypes(ctx.machineTypes ?? []);
     const roster = await this.readAll(ROSTER_PREFIX);
-    this.restoreRoster(roster.entries);
+    measureHold(ctx, 'roster restored', () => this.restoreRoster(roster.entries));
     const requestedAt = ctx.clock.now();
     const live = await this.readAll(LIVE_JOB_PREFIX);
     // The forecast is read before the jobs are added, because adding a job that arrived after the
     // forecast was saved counts it.
     await demandStore.read();
-    liveJobLoader.addAll(live.entries);
+    measureHold(ctx, 'job list applied', () => liveJobLoader.addAll(live.entries));
     const bitmaps = await this.readAll(BITMAP_PREFIX);
-    this.restoreFinishedTasks(bitmaps.entries);
+    measureHold(ctx, 'finished tasks restored', () => this.restoreFinishedTasks(bitmaps.entries));
     const pages = await this.readAll(DEPENDENCY_PAGE_PREFIX);
-    this.markOrphanedDependencyPages(pages.entries, live.revision);
+    measureHold(ctx, 'dependency pages checked', () =>
+      this.markOrphanedDependencyPages(pages.entries, live.revision),
+    );
     return { revision: live.revision, requestedAt };
   }
 
--- a/test/external-names.test.ts
+++ b/test/external-names.test.ts
@@ -164,6 +164,7 @@
   'machine drained',
   'machine terminated',
   'new agent epoch',
+  'event loop held',
   'task preempted',
   'unexpected machine adopted',
   'job fails on several machines, backing off',
