Urgency is passed on in order of arrival, each job and dependency once

Cause: a deadline was passed on along each path of the dependency graph for as long as the path was longer than those seen before. With estimates that grow from round to round each path is visited before all longer ones, 2^30 of them. When a job ended, the deadlines before it were taken anew in the same way. Evidence: "event loop held" named the two callers of the graph, 7.5 s with 24 rounds; a ladder of 16 rounds asked for a duration 262,141 times.

Bound: a change (a job added, ended or cancelled, or a list of jobs read) visits each job whose urgency it changes, and each dependency of such a job, once. A job names only jobs accepted before it, so visits in descending order of versions reach a job after all of its dependents that change, whatever the shape. What a job inherits from its dependents is kept with it (priorities counted, deadlines in a heap from the registry, tinyqueue), so the end of one of many dependents does not visit the others. Jobs of a list are all added before one pass. What exceeds 2,000 visits goes on in later turns of the event loop; changes may come in between.

--- a/src/controller/event-loop-hold.ts
+++ b/src/controller/event-loop-hold.ts
@@ -10,6 +10,7 @@
   | 'dependency pages checked'
   | 'job ends applied'
   | 'dependencies read'
+  | 'dependencies propagated'
   | 'placement round'
   | 'heartbeat applied'
   | 'cancellation applied'
--- a/src/controller/leader/leader.ts
+++ b/src/controller/leader/leader.ts
@@ -26,6 +26,7 @@
 import { AgentCommands } from './agent-commands.js';
 import { DemandStore } from './demand-store.js';
 import { DependencyListCleaner } from './dependency-list-cleaner.js';
+import { runPropagation } from './dependency-propagation.js';
 import { DependencyResolver } from './dependency-resolver.js';
 import { FleetController } from './fleet-controller.js';
 import { HeartbeatProcessor, type HeartbeatResponse } from './heartbeat-processing.js';
@@ -158,6 +159,10 @@
       { name: 'job watch', run: (signal) => this.jobWatch.run(revision, signal) },
       { name: 'scheduling loop', run: (signal) => this.schedulingLoop.run(signal) },
       { name: 'progress writer', run: (signal) => this.progressWriter.run(signal) },
+      {
+        name: 'dependency propagation',
+        run: (signal) => runPropagation(this.ctx, this.cluster.dependencies, signal),
+      },
       { name: 'dependency resolver', run: (signal) => this.dependencyResolver.run(signal) },
       { name: 'dependency list cleaner', run: (signal) => this.listCleaner.run(signal) },
       { name: 'machine list', run: (signal) => fleet.listMachines(signal) },
--- a/src/controller/leader/live-jobs.ts
+++ b/src/controller/leader/live-jobs.ts
@@ -30,10 +30,16 @@
   /**
    * Adds all jobs of a list. The list is sorted by key, but jobs arrived in the
    * order of their versions, on which priorities, quotas and the demand forecast
-   * depend.
+   * depend. Their effects on other jobs are passed on afterwards, in one pass.
    */
   addAll(entries: readonly Entry[]): void {
-    for (const entry of [...entries].sort((a, b) => a.version - b.version)) this.add(entry);
+    const { jobRegistry } = this.cluster;
+    jobRegistry.deferPropagation();
+    try {
+      for (const entry of [...entries].sort((a, b) => a.version - b.version)) this.add(entry);
+    } finally {
+      jobRegistry.resumePropagation();
+    }
   }
 
   /**
--- a/src/scheduler/state/dependency-graph.ts
+++ b/src/scheduler/state/dependency-graph.ts
@@ -1,25 +1,12 @@
 /** Dependencies between live jobs, and their effects: waiting, cancellation and inherited urgency. */
 
 import type { JobEnd } from '../../model/job.js';
-import { type EffectiveDeadline, isSameDeadline, isTighter } from './effective-deadline.js';
-import type { JobState } from './job-state.js';
 import type { Job } from './task-attempt.js';
+import { type DurationEstimator, UrgencyPropagation } from './urgency-propagation.js';
 
 /** Maximum number of job ends kept in memory. A job that depends on one of them needs no read. */
 const MAX_REMEMBERED_ENDS = 2000;
 
-/** Expected durations, from which the graph computes how long a path of dependencies takes. */
-export interface DurationEstimator {
-  /** Returns the expected duration of the job's longest task, in seconds. */
-  longestTaskS(job: JobState): number;
-}
-
-/** An edge of the graph: a job and one that depends on it. */
-interface DependencyEdge {
-  dependency: Job;
-  dependent: Job;
-}
-
 /**
  * The graph of dependencies between live jobs. A job waits until all of its
  * dependencies are durably done. When one of them is cancelled, all jobs that
@@ -29,7 +16,7 @@
  * Users set priority and deadline only on the last job of a pipeline, so its
  * dependencies inherit both: a job has the highest priority among itself and
  * all its dependents, and the deadline among theirs that leaves it the least
- * time.
+ * time (urgency-propagation.ts).
  *
  * The traversals are iterative, since a chain of dependencies may exceed the
  * depth of the call stack.
@@ -43,12 +30,34 @@
   readonly jobsWithUnknownEnd = new Set<string>();
   /** Jobs whose dependency ids are partly in further records, which have to be read. */
   readonly jobsWithUnreadDependencies = new Set<Job>();
+  private readonly urgency: UrgencyPropagation;
 
   constructor(
     /** The live jobs. */
     private readonly jobs: ReadonlyMap<string, Job>,
-    private readonly estimator: DurationEstimator,
-  ) {}
+    estimator: DurationEstimator,
+  ) {
+    this.urgency = new UrgencyPropagation(estimator);
+  }
+
+  /** Adds a live job. Its dependencies are added next. */
+  addJob(job: Job): void {
+    this.urgency.add(job);
+  }
+
+  /**
+   * Passes recorded changes on along the dependencies, in at most about `maxVisits`
+   * visits of a job or a dependency. Returns whether all have been passed on. Until
+   * then, the priority and the deadline of some jobs are outdated.
+   */
+  propagate(maxVisits: number): boolean {
+    return this.urgency.propagate(maxVisits);
+  }
+
+  /** Number of jobs and dependencies visited so far. */
+  get visits(): number {
+    return this.urgency.visits;
+  }
 
   /** Adds dependencies of a live job. Those that are known to be done are satisfied at once. */
   addDependencies(job: Job, dependencyIds: readonly string[]): void {
@@ -113,13 +122,14 @@
   /** Adds a dependency. `end` is set when it was cancelled, and null when it is live or its end is not known. */
   private addPendingDependency(job: Job, id: string, end: JobEnd | null): void {
     if (end?.state === 'cancelled') job.dependencyCancelled = true;
+    if (job.pendingDependencies.has(id)) return;
     job.pendingDependencies.add(id);
     const dependents = this.dependents.get(id);
     if (dependents) dependents.add(job);
     else this.dependents.set(id, new Set([job]));
     const dependency = this.jobs.get(id);
     if (dependency?.dependencyCancelled) job.dependencyCancelled = true;
-    if (dependency) this.propagateUrgency(dependency, job);
+    if (dependency) this.urgency.addDependency(job, id);
     else if (!end) this.jobsWithUnknownEnd.add(id);
   }
 
@@ -157,72 +167,10 @@
     this.jobsWithUnreadDependencies.delete(job);
     for (const id of job.pendingDependencies) {
       const dependents = this.dependents.get(id);
-      if (!dependents?.delete(job)) continue;
-      if (dependents.size === 0) {
-        this.dependents.delete(id);
-        this.jobsWithUnknownEnd.delete(id);
-      }
-      const dependency = this.jobs.get(id);
-      if (dependency) this.recomputeUrgency(dependency);
-    }
-  }
-
-  // Urgency: priority and effective deadline
-
-  /** Passes a job's urgency on to its dependencies, along each path until a job on it is at least as urgent already. */
-  private propagateUrgency(dependency: Job, dependent: Job): void {
-    const toVisit: DependencyEdge[] = [{ dependency, dependent }];
-    for (let edge = toVisit.pop(); edge; edge = toVisit.pop()) {
-      if (!this.inheritUrgency(edge)) continue;
-      for (const next of this.liveDependencies(edge.dependency))
-        toVisit.push({ dependency: next, dependent: edge.dependency });
-    }
-  }
-
-  /** Raises the dependency's urgency to that of its dependent. Returns false when it was at least as urgent before. */
-  private inheritUrgency({ dependency, dependent }: DependencyEdge): boolean {
-    const priority = Math.min(dependency.priority, dependent.priority);
-    const inherited = this.deadlineForDependencies(dependent);
-    const tighter = inherited !== null && isTighter(inherited, dependency.effectiveDeadline);
-    if (priority === dependency.priority && !tighter) return false;
-    dependency.priority = priority;
-    if (tighter) dependency.effectiveDeadline = inherited;
-    return true;
-  }
-
-  /**
-   * Returns the deadline that a job passes on to its dependencies: its own or
-   * inherited one, less the expected duration of its tasks. Null when it has none.
-   */
-  private deadlineForDependencies(dependent: Job): EffectiveDeadline | null {
-    const deadline = dependent.effectiveDeadline;
-    if (deadline === null) return null;
-    const pathS = deadline.remainingPathS + this.estimator.longestTaskS(dependent);
-    return { job: deadline.job, remainingPathS: pathS };
-  }
-
-  /** Recomputes the urgency of a job, and of its dependencies, from the dependents that remain after one has ended. */
-  private recomputeUrgency(changed: Job): void {
-    const toVisit = [changed];
-    for (let job = toVisit.pop(); job; job = toVisit.pop()) {
-      const { priority, effectiveDeadline } = job;
-      job.resetUrgency();
-      for (const dependent of this.dependents.get(job.spec.id) ?? [])
-        this.inheritUrgency({ dependency: job, dependent });
-      const unchanged =
-        job.priority === priority && isSameDeadline(job.effectiveDeadline, effectiveDeadline);
-      if (unchanged) continue;
-      for (const dependency of this.liveDependencies(job)) toVisit.push(dependency);
-    }
-  }
-
-  /** Returns the job's pending dependencies that are live, in the order in which they were named. */
-  private liveDependencies(job: Job): Job[] {
-    const dependencies: Job[] = [];
-    for (const id of job.pendingDependencies) {
-      const dependency = this.jobs.get(id);
-      if (dependency) dependencies.push(dependency);
+      if (!dependents?.delete(job) || dependents.size > 0) continue;
+      this.dependents.delete(id);
+      this.jobsWithUnknownEnd.delete(id);
     }
-    return dependencies;
+    this.urgency.remove(job);
   }
 }
--- a/src/scheduler/state/job-registry.ts
+++ b/src/scheduler/state/job-registry.ts
@@ -12,6 +12,12 @@
 import type { TaskAttempts } from './task-attempts.js';
 import type { WorkEstimates } from './work-estimates.js';
 
+/**
+ * Visits of jobs and dependencies with which one change is passed on at once. The
+ * rest follows in later turns of the event loop.
+ */
+const MAX_VISITS_PER_CHANGE = 2000;
+
 /** The parts that the registry uses. */
 export interface JobRegistryOptions {
   attempts: TaskAttempts;
@@ -36,6 +42,8 @@
   private readonly announcedCancellations = new Map<string, number>();
   /** The revision up to which the job watch has been applied. */
   private appliedRevision = 0;
+  /** Number of callers that are applying several changes, which are passed on together. */
+  private callersApplyingChanges = 0;
   private readonly attempts: TaskAttempts;
   private readonly estimates: WorkEstimates;
   private readonly bitmaps: BitmapLayout;
@@ -63,9 +71,11 @@
     if (this.jobs.has(spec.id) || this.announcedCancellations.has(spec.id)) return null;
     const job = new Job(spec, version, acceptedAt, inherited);
     this.jobs.set(spec.id, job);
+    this.dependencies.addJob(job);
     job.ownedKeys.push(...dependencies.keys);
     if (dependencies.unread) this.dependencies.deferDependencies(job);
     else this.dependencies.addDependencies(job, dependencies.ids);
+    this.passOnChanges();
     this.estimates.recordArrival(spec);
     this.roundTrigger.request();
     return job;
@@ -75,6 +85,7 @@
   addReadDependencies(job: Job, dependencies: readonly string[]): void {
     if (job.ended) return;
     this.dependencies.addReadDependencies(job, dependencies);
+    this.passOnChanges();
     this.roundTrigger.request();
   }
 
@@ -85,6 +96,7 @@
    */
   end(id: string, end: JobEnd | null): void {
     this.dependencies.recordJobEnd(id, end);
+    this.passOnChanges();
     this.roundTrigger.request();
     const job = this.jobs.get(id);
     if (!job) return;
@@ -99,6 +111,20 @@
     job.unsavedChunks.clear();
   }
 
+  /**
+   * Defers passing changes on along the dependencies until `resumePropagation` has
+   * been called equally often, so that many jobs that are added or ended together
+   * are passed on in one pass.
+   */
+  deferPropagation(): void {
+    this.callersApplyingChanges++;
+  }
+
+  /** Ends a deferral. The deferred changes are passed on by the next calls of `DependencyGraph.propagate`. */
+  resumePropagation(): void {
+    this.callersApplyingChanges--;
+  }
+
   /** Ends a job whose cancellation is durable at this revision, unless the job watch has reached that revision. */
   announceCancellation(id: string, revision: number): void {
     if (revision <= this.appliedRevision) return;
@@ -112,4 +138,8 @@
     for (const [id, cancellationRevision] of this.announcedCancellations)
       if (cancellationRevision <= revision) this.announcedCancellations.delete(id);
   }
+
+  private passOnChanges(): void {
+    if (this.callersApplyingChanges === 0) this.dependencies.propagate(MAX_VISITS_PER_CHANGE);
+  }
 }
--- a/src/scheduler/state/job-state.ts
+++ b/src/scheduler/state/job-state.ts
@@ -85,12 +85,6 @@
     this.effectiveDeadline = ownDeadline(this);
   }
 
-  /** Resets priority and deadline to those that the user set for the job itself. */
-  resetUrgency(): void {
-    this.priority = this.spec.priority;
-    this.effectiveDeadline = ownDeadline(this);
-  }
-
   /** Whether some of its dependencies are not done. None of its tasks may start then, and it adds no demand. */
   get awaitsDependencies(): boolean {
     return this.dependencyCancelled || this.dependenciesUnread || this.pendingDependencies.size > 0;
