A dependency that arrives after its dependents inherits their urgency

When users submit a pipeline while a new leader reads a list of several pages, the leader may know the last job before those that it waits for. These did not inherit its deadline and priority in that term, and their ends were looked for, and not found, at each renewal interval, which held up the reading of other ends.

Cause: urgency was passed on when an edge was added, not when the job at its other end became live; that job stayed among those with an unknown end.

Fix: a job that is added inherits from the dependents that are known already, and its end is no longer looked for.

Test: dependency-graph "a dependency that arrives after its dependents inherits their urgency, and its end is not looked for"; before the fix 2 jobs were left with an unknown end, and with only that mended its priority was 3 instead of 1.

--- a/src/scheduler/state/dependency-graph.ts
+++ b/src/scheduler/state/dependency-graph.ts
@@ -40,9 +40,17 @@
     this.urgency = new UrgencyPropagation(estimator);
   }
 
-  /** Adds a live job. Its dependencies are added next. */
+  /**
+   * Adds a live job; its dependencies are added next. Its dependents may be known
+   * already: a list of live jobs is read in pages, and a job that was accepted
+   * meanwhile may be missing while a dependent on a later page is not.
+   */
   addJob(job: Job): void {
+    const { id } = job.spec;
     this.urgency.add(job);
+    this.jobsWithUnknownEnd.delete(id);
+    for (const dependent of this.dependents.get(id) ?? [])
+      this.urgency.addDependency(dependent, id);
   }
 
   /**
--- a/test/dependency-graph.test.ts
+++ b/test/dependency-graph.test.ts
@@ -97,6 +97,26 @@
   }
 });
 
+/**
+ * A list of live jobs is read in pages: a job that is accepted after the first page
+ * was read may be missing while a dependent on a later page is not.
+ */
+test('a dependency that arrives after its dependents inherits their urgency, and its end is not looked for', () => {
+  const cluster = createCluster();
+  addJob(cluster, 3, [2], { priority: 1, deadlineS: 100 });
+  addJob(cluster, 4, [2, 1], { priority: 3 });
+  assert.deepEqual([...cluster.dependencies.jobsWithUnknownEnd], [jobId(2), jobId(1)]);
+  const dependency = addJob(cluster, 2, [1], { priority: 3 });
+  const first = addJob(cluster, 1, [], { priority: 3 });
+  assert.equal(cluster.dependencies.jobsWithUnknownEnd.size, 0);
+  for (const job of [dependency, first]) {
+    assert.equal(job.priority, 1, job.spec.id);
+    assert.equal(job.effectiveDeadline?.job.spec.id, jobId(3), job.spec.id);
+  }
+  cluster.endJob(jobId(1), CANCELLED);
+  assert.ok([2, 3, 4].every((n) => cluster.jobs.get(jobId(n))?.dependencyCancelled));
+});
+
 test('a cancellation reaches all direct and transitive dependents, also those submitted later', () => {
   const cluster = createCluster();
   joinCluster(cluster, new ScriptedAgent('n-1'), 0);
--- a/test/urgency-reference.test.ts
+++ b/test/urgency-reference.test.ts
@@ -1,7 +1,8 @@
 /**
  * Compares the urgency of jobs with a plain computation over all paths, for small
- * seeded graphs: random shapes, orders of dependencies, estimates that change, ends
- * of all kinds, lists of dependencies that are read late, and propagation in parts.
+ * seeded graphs: random shapes, orders of dependencies and of arrival, estimates that
+ * change, ends of all kinds, lists of dependencies that are read late, and propagation
+ * in parts.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -25,6 +26,10 @@
   remainingPathS: number;
 }
 
+function jobId(number: number): string {
+  return `req-${String(number).padStart(6, '0')}`;
+}
+
 /** A graph, and the durations that it was told last. */
 class ReferenceGraph {
   readonly jobs = new Map<string, Job>();
@@ -36,6 +41,8 @@
   /** The estimate of each job when its urgency last changed, in seconds. */
   private readonly usedEstimatesS = new Map<string, number>();
   private lastNumber = 0;
+  /** Numbers of jobs that others may depend on already, but that arrive later. */
+  private readonly delayed: number[] = [];
 
   constructor(private readonly random: () => number) {
     const longestTaskS = ({ spec }: JobState) => {
@@ -61,13 +68,20 @@
   }
 
   private addJob(): void {
-    const number = ++this.lastNumber;
-    const id = `req-${String(number).padStart(6, '0')}`;
+    const arrived = this.below(3) === 0 ? this.delayed.shift() : undefined;
+    if (arrived !== undefined) this.add(arrived);
+    else if (this.below(5) === 0) this.delayed.push(++this.lastNumber);
+    else this.add(++this.lastNumber);
+  }
+
+  /** Adds the job with this number. It may depend on any job with a lower number that has not ended. */
+  private add(number: number): void {
+    const id = jobId(number);
     const deadlineS = this.below(3) === 0 ? 50 + this.below(500) : null;
     const spec = jobSpec({ id, priority: this.below(4), deadlineS, tasks: 1 });
     const job = new Job(spec, number, number * 1000, false);
-    const dependencies = [...this.jobs.keys()]
-      .filter(() => this.below(2) === 0)
+    const dependencies = [...this.jobs.keys(), ...this.delayed.map(jobId)]
+      .filter((dependency) => dependency < id && this.below(2) === 0)
       .map((dependency) => ({ dependency, key: this.random() }))
       .sort((a, b) => a.key - b.key)
       .map(({ dependency }) => dependency);
