A job that has ended is not added again by an older list of live jobs

After a watch whose revision was too old, the leader reads all live jobs in pages. A job whose end it wrote itself between two pages was added again as a new job: its tasks were ready once more until the watch reported the end.

Cause: only announced cancellations were kept apart from older lists.

Fix: the registry remembers the ids that ended since the watch was last applied, and adds none of them. What is applied afterwards was read later.

--- a/src/scheduler/state/job-registry.ts
+++ b/src/scheduler/state/job-registry.ts
@@ -28,8 +28,8 @@
 
 /**
  * Owns the live jobs, and the keys of ended jobs that are to be deleted.
- * Invariant: once a job's cancellation has been announced, no older event of
- * the job watch adds it again.
+ * Invariant: once a job has ended or its cancellation has been announced, no older
+ * event of the job watch and no older list of live jobs adds it again.
  */
 export class JobRegistry {
   /** Live jobs by id, in the order in which they were added. */
@@ -40,6 +40,8 @@
   readonly obsoleteKeys = new Set<string>();
   /** Revisions of announced cancellations, by job id. Watch events from before that revision are outdated. */
   private readonly announcedCancellations = new Map<string, number>();
+  /** Ids of jobs that ended since the job watch was last applied. What is being applied may be from before. */
+  private readonly endedSinceApplied = new Set<string>();
   /** The revision up to which the job watch has been applied. */
   private appliedRevision = 0;
   /** Number of callers that are applying several changes, which are passed on together. */
@@ -58,8 +60,8 @@
   }
 
   /**
-   * Adds a live job. Returns null when it is present already or its
-   * cancellation has been announced.
+   * Adds a live job. Returns null when it is present already, has just ended, or
+   * its cancellation has been announced.
    */
   add(
     spec: JobSpec,
@@ -68,7 +70,7 @@
     inherited: boolean,
     dependencies: DependencyList = NO_DEPENDENCIES,
   ): Job | null {
-    if (this.jobs.has(spec.id) || this.announcedCancellations.has(spec.id)) return null;
+    if (this.jobs.has(spec.id) || this.hasEnded(spec.id)) return null;
     const job = new Job(spec, version, acceptedAt, inherited);
     this.jobs.set(spec.id, job);
     this.dependencies.addJob(job);
@@ -95,6 +97,7 @@
    * the job ended.
    */
   end(id: string, end: JobEnd | null): void {
+    this.endedSinceApplied.add(id);
     this.dependencies.recordJobEnd(id, end);
     this.passOnChanges();
     this.roundTrigger.request();
@@ -135,10 +138,16 @@
   /** Records that the job watch has been applied up to this revision. */
   recordAppliedRevision(revision: number): void {
     this.appliedRevision = revision;
+    this.endedSinceApplied.clear();
     for (const [id, cancellationRevision] of this.announcedCancellations)
       if (cancellationRevision <= revision) this.announcedCancellations.delete(id);
   }
 
+  /** Reports whether a job ended, or its cancellation was announced, after what is being applied may have been read. */
+  private hasEnded(id: string): boolean {
+    return this.endedSinceApplied.has(id) || this.announcedCancellations.has(id);
+  }
+
   private passOnChanges(): void {
     if (this.callersApplyingChanges === 0) this.dependencies.propagate(MAX_VISITS_PER_CHANGE);
   }
