Lists, events and stored records are applied in turns of the event loop

A new leader added all live jobs, the roster and the bitmaps in one turn of the event loop each, and the events of a watch response in another; meanwhile it answered nobody and renewed no lease.

Cause: lists were read in pages but applied as a whole.

Fix: they are applied in turns of 4,000 steps (100 records, or that many dependencies). What comes between two turns stands: a job that has ended or whose cancellation is announced is not added, both reach jobs added later, a term that ends leaves out the rest. Cancellations count as known only once the whole response has been applied, as before.

--- a/src/controller/leader/dependency-propagation.ts
+++ b/src/controller/leader/dependency-propagation.ts
@@ -7,12 +7,10 @@
 import type { DependencyGraph } from '../../scheduler/state/dependency-graph.js';
 import type { ControllerContext } from '../context.js';
 import { measureHold } from '../event-loop-hold.js';
-
-/** Visits of jobs and dependencies in one turn of the event loop: a few milliseconds on a whole core. */
-export const MAX_VISITS_PER_TURN = 4000;
+import { STEPS_PER_TURN } from '../work-in-turns.js';
 
 /**
- * Passes on all recorded changes, in turns of `MAX_VISITS_PER_TURN` visits. Returns
+ * Passes on all recorded changes, in turns of `STEPS_PER_TURN` visits. Returns
  * when none is left or the signal is aborted.
  */
 export async function propagateChanges(
@@ -22,7 +20,7 @@
 ): Promise<void> {
   while (!signal.aborted) {
     const done = measureHold(ctx, 'dependencies propagated', () =>
-      dependencies.propagate(MAX_VISITS_PER_TURN),
+      dependencies.propagate(STEPS_PER_TURN),
     );
     if (done) return;
     await nextTurn();
--- a/src/controller/leader/job-watch.ts
+++ b/src/controller/leader/job-watch.ts
@@ -13,8 +13,8 @@
 import type { ClusterState } from '../../scheduler/state/cluster-state.js';
 import type { ControllerContext } from '../context.js';
 import type { LeaderTerm } from '../election/leader-term.js';
-import { measureHold } from '../event-loop-hold.js';
 import { retry } from '../retry.js';
+import { applyInTurns, STEPS_PER_RECORD } from '../work-in-turns.js';
 import type { AgentCommands } from './agent-commands.js';
 import { jobIdOf, type LiveJobLoader } from './live-jobs.js';
 import { readPrefixSnapshot } from './prefix-snapshot.js';
@@ -43,16 +43,14 @@
         ctx.state.watch(LIVE_JOB_PREFIX, after, ctx.timing.jobWatchTimeoutMs, callSignal),
       );
       if (changes) {
-        measureHold(ctx, 'job events applied', () => {
-          for (const event of changes.events) this.applyEvent(event);
-        });
+        await this.applyEvents(changes.events, signal);
         appliedRevision = changes.revision;
       } else {
         // The revision is too old to be watched, or too much has changed since. That says nothing
         // about the jobs, so all of them are read again.
         requestedAt = ctx.clock.now();
         const live = await readPrefixSnapshot(ctx, LIVE_JOB_PREFIX, signal);
-        measureHold(ctx, 'job list applied', () => this.applyCompleteList(live.entries));
+        await this.applyCompleteList(live.entries, signal);
         appliedRevision = live.revision;
       }
       cluster.recordAppliedJobRevision(appliedRevision);
@@ -63,22 +61,54 @@
     }
   }
 
-  private applyEvent(event: StoreEvent): void {
-    const { cluster, liveJobLoader, commands } = this.options;
-    if (event.op === 'put') liveJobLoader.add(event);
-    else cluster.endJob(jobIdOf(event.key), null);
+  /**
+   * Applies events in several turns of the event loop. What happens in between is
+   * as if the response had come in parts: a job whose end comes with a later event
+   * may start tasks until then only within the bound for cancellations, since this
+   * response has not been applied yet.
+   */
+  private async applyEvents(events: readonly StoreEvent[], signal: AbortSignal): Promise<void> {
+    const { ctx, cluster } = this.options;
+    cluster.jobRegistry.deferPropagation();
+    try {
+      await applyInTurns(
+        ctx,
+        'job events applied',
+        events,
+        (event) => this.applyEvent(event),
+        signal,
+      );
+    } finally {
+      cluster.jobRegistry.resumePropagation();
+    }
+  }
+
+  /** Applies one event and returns the steps that it took. */
+  private applyEvent(event: StoreEvent): number {
+    const { liveJobLoader, commands } = this.options;
+    const steps = event.op === 'put' ? liveJobLoader.add(event) : this.endJob(jobIdOf(event.key));
     // Running tasks of an ended job are stopped without waiting for the machines' next heartbeats.
     commands.deferSendPending();
+    return steps;
   }
 
   /**
    * Ends the jobs that are missing from the complete list of live jobs and adds
-   * those not known yet.
+   * those not known yet. Takes several turns of the event loop.
    */
-  private applyCompleteList(entries: readonly Entry[]): void {
-    const { cluster, liveJobLoader } = this.options;
+  private async applyCompleteList(entries: readonly Entry[], signal: AbortSignal): Promise<void> {
+    const { ctx, cluster, liveJobLoader } = this.options;
     const liveIds = new Set(entries.map((entry) => jobIdOf(entry.key)));
-    for (const id of [...cluster.jobs.keys()]) if (!liveIds.has(id)) cluster.endJob(id, null);
-    liveJobLoader.addAll(entries);
+    const missingIds = [...cluster.jobs.keys()].filter((id) => !liveIds.has(id));
+    await applyInTurns(ctx, 'job ends applied', missingIds, (id) => this.endJob(id), signal);
+    await liveJobLoader.addAll(entries, signal);
+  }
+
+  /** Ends a job that is no longer live and returns the steps that it took. */
+  private endJob(id: string): number {
+    const { cluster } = this.options;
+    const job = cluster.jobs.get(id);
+    cluster.endJob(id, null);
+    return STEPS_PER_RECORD + (job ? job.pendingDependencies.size + job.activeAttempts.size : 0);
   }
 }
--- a/src/controller/leader/leader.ts
+++ b/src/controller/leader/leader.ts
@@ -104,7 +104,7 @@
       sockets: commandSocketsOf(ctx.platform),
     });
     const demandStore = new DemandStore(ctx, term, scaleOut);
-    const liveJobLoader = new LiveJobLoader(ctx.log, term, cluster, demandStore);
+    const liveJobLoader = new LiveJobLoader(ctx, term, cluster, demandStore);
     this.cluster = cluster;
     this.commands = commands;
     this.demandStore = demandStore;
--- a/src/controller/leader/live-jobs.ts
+++ b/src/controller/leader/live-jobs.ts
@@ -3,14 +3,15 @@
  * leader's cluster state and to the demand forecast. Owns no state and writes
  * nothing to the state service.
  */
-import type { Logger } from 'pino';
 import { isObject } from '../../protocol/json-fields.js';
 import type { Entry } from '../../protocol/key-value-protocol.js';
 import { decodeLiveJob, type LiveJobRecord } from '../../records/job-record.js';
 import { dependencyPageKey, LIVE_JOB_PREFIX } from '../../records/keys.js';
 import type { ClusterState } from '../../scheduler/state/cluster-state.js';
 import { hasInlineDependencies } from '../api/job-store.js';
+import type { ControllerContext } from '../context.js';
 import type { LeaderTerm } from '../election/leader-term.js';
+import { applyInTurns, STEPS_PER_RECORD } from '../work-in-turns.js';
 import type { DemandStore } from './demand-store.js';
 
 /** Returns the job id in the key of a live job record. */
@@ -21,7 +22,7 @@
 /** Adds records of live jobs to the cluster state of one leader term. */
 export class LiveJobLoader {
   constructor(
-    private readonly log: Logger,
+    private readonly ctx: Pick<ControllerContext, 'clock' | 'log' | 'timing'>,
     private readonly term: Pick<LeaderTerm, 'version'>,
     private readonly cluster: ClusterState,
     private readonly demandStore: Pick<DemandStore, 'recordArrival'>,
@@ -31,38 +32,45 @@
    * Adds all jobs of a list. The list is sorted by key, but jobs arrived in the
    * order of their versions, on which priorities, quotas and the demand forecast
    * depend. Their effects on other jobs are passed on afterwards, in one pass.
+   * Takes several turns of the event loop; a job that ends meanwhile is not added.
+   * Throws `AbortedError` when the signal is aborted.
    */
-  addAll(entries: readonly Entry[]): void {
+  async addAll(entries: readonly Entry[], signal: AbortSignal): Promise<void> {
     const { jobRegistry } = this.cluster;
+    const byArrival = [...entries].sort((a, b) => a.version - b.version);
     jobRegistry.deferPropagation();
     try {
-      for (const entry of [...entries].sort((a, b) => a.version - b.version)) this.add(entry);
+      await applyInTurns(
+        this.ctx,
+        'job list applied',
+        byArrival,
+        (entry) => this.add(entry),
+        signal,
+      );
     } finally {
       jobRegistry.resumePropagation();
     }
   }
 
   /**
-   * Adds one job. A job that is already known, or whose cancellation was announced,
-   * is left unchanged. A record that can't be decoded is logged and skipped, since
-   * it must not keep the leader from the other jobs.
+   * Adds one job and returns the steps that it took. A job that is already known or
+   * has just ended, or whose cancellation was announced, is left unchanged. A record
+   * that can't be decoded is logged and skipped, since it must not keep the leader
+   * from the other jobs.
    */
-  add({ key, value, version }: Entry): void {
+  add({ key, value, version }: Entry): number {
     const record = decodeLiveJob(value);
     if (!record || !isObject(record.spec)) {
-      this.log.error({ key }, 'live job is not readable');
-      return;
+      this.ctx.log.error({ key }, 'live job is not readable');
+      return STEPS_PER_RECORD;
     }
     // An earlier leader may have started tasks of a job that was accepted before this term.
     const inherited = version <= this.term.version;
-    const job = this.cluster.addJob(
-      record.spec,
-      version,
-      record.acceptedAt,
-      inherited,
-      dependenciesOf(record),
-    );
-    if (job) this.demandStore.recordArrival(record.spec, version);
+    const { spec, acceptedAt } = record;
+    const dependencies = dependenciesOf(record);
+    const job = this.cluster.addJob(spec, version, acceptedAt, inherited, dependencies);
+    if (job) this.demandStore.recordArrival(spec, version);
+    return STEPS_PER_RECORD + dependencies.ids.length;
   }
 }
 
--- a/src/controller/leader/state-restoration.ts
+++ b/src/controller/leader/state-restoration.ts
@@ -23,13 +23,17 @@
 import type { ClusterState } from '../../scheduler/state/cluster-state.js';
 import type { ControllerContext } from '../context.js';
 import type { LeaderTerm } from '../election/leader-term.js';
-import { measureHold } from '../event-loop-hold.js';
 import { readMachineTypes } from '../machine-types.js';
 import { retry } from '../retry.js';
+import { applyInTurns, STEPS_PER_RECORD } from '../work-in-turns.js';
 import type { DemandStore } from './demand-store.js';
+import { propagateChanges } from './dependency-propagation.js';
 import type { LiveJobLoader } from './live-jobs.js';
 import { type PrefixSnapshot, readPrefixSnapshot } from './prefix-snapshot.js';
 
+/** Steps that registering a machine takes. */
+const STEPS_PER_MACHINE = 4;
+
 /** Result of a restoration. */
 export interface RestoredState {
   /** The revision from which to watch the live jobs. */
@@ -78,18 +82,35 @@
       );
     cluster.updateMachineTypes(ctx.machineTypes ?? []);
     const roster = await this.readAll(ROSTER_PREFIX);
-    measureHold(ctx, 'roster restored', () => this.restoreRoster(roster.entries));
+    await applyInTurns(
+      ctx,
+      'roster restored',
+      roster.entries,
+      (page) => this.restoreRosterPage(page),
+      term.signal,
+    );
     const requestedAt = ctx.clock.now();
     const live = await this.readAll(LIVE_JOB_PREFIX);
     // The forecast is read before the jobs are added, because adding a job that arrived after the
     // forecast was saved counts it.
     await demandStore.read();
-    measureHold(ctx, 'job list applied', () => liveJobLoader.addAll(live.entries));
+    await liveJobLoader.addAll(live.entries, term.signal);
+    await propagateChanges(ctx, cluster.dependencies, term.signal);
     const bitmaps = await this.readAll(BITMAP_PREFIX);
-    measureHold(ctx, 'finished tasks restored', () => this.restoreFinishedTasks(bitmaps.entries));
+    await applyInTurns(
+      ctx,
+      'finished tasks restored',
+      bitmaps.entries,
+      (entry) => this.restoreFinishedTasks(entry),
+      term.signal,
+    );
     const pages = await this.readAll(DEPENDENCY_PAGE_PREFIX);
-    measureHold(ctx, 'dependency pages checked', () =>
-      this.markOrphanedDependencyPages(pages.entries, live.revision),
+    await applyInTurns(
+      ctx,
+      'dependency pages checked',
+      pages.entries,
+      (page) => this.markOrphanedDependencyPage(page, live.revision),
+      term.signal,
     );
     return { revision: live.revision, requestedAt };
   }
@@ -98,48 +119,49 @@
     return readPrefixSnapshot(this.ctx, prefix, this.options.term.signal);
   }
 
-  /** Restores the machines to which earlier leaders may have assigned tasks. */
-  private restoreRoster(pages: readonly Entry[]): void {
-    for (const page of pages) {
-      const key = page.key.slice(ROSTER_PREFIX.length);
-      const machines = decodeRosterPage(key, page.value);
-      this.cluster.roster.restore(key, page.version, machines);
-      for (const { id, type, zone, spot, address } of machines)
-        this.cluster.inheritMachine(id, type, zone, spot, address, this.ctx.clock.now());
-    }
+  /**
+   * Restores machines to which earlier leaders may have assigned tasks. Returns the
+   * steps that it took.
+   */
+  private restoreRosterPage(page: Entry): number {
+    const key = page.key.slice(ROSTER_PREFIX.length);
+    const machines = decodeRosterPage(key, page.value);
+    this.cluster.roster.restore(key, page.version, machines);
+    for (const { id, type, zone, spot, address } of machines)
+      this.cluster.inheritMachine(id, type, zone, spot, address, this.ctx.clock.now());
+    return STEPS_PER_RECORD + machines.length * STEPS_PER_MACHINE;
   }
 
   /**
-   * Restores the finished tasks of live jobs. Bitmaps of ended jobs and values that
-   * can't be decoded are marked for deletion.
+   * Restores finished tasks of a live job. Bitmaps of ended jobs and values that
+   * can't be decoded are marked for deletion. Returns the steps that it took.
    */
-  private restoreFinishedTasks(entries: readonly Entry[]): void {
+  private restoreFinishedTasks({ key, value, version }: Entry): number {
     const { cluster } = this;
-    for (const { key, value, version } of entries) {
-      const chunk = cluster.bitmaps.parseKey(key);
-      const job = chunk && cluster.jobs.get(chunk.job);
-      const finished = decodeFinishedTasks(value);
-      if (!job || !finished) {
-        cluster.obsoleteKeys.add(key);
-        continue;
-      }
-      job.loadBits(chunk.firstTask, finished);
-      // A chunk in the format of an earlier version is never rewritten but deleted with its job.
-      if (chunk.chunk === null) job.ownedKeys.push(key);
-      else job.chunkVersions.set(chunk.chunk, version);
+    const chunk = cluster.bitmaps.parseKey(key);
+    const job = chunk && cluster.jobs.get(chunk.job);
+    const finished = decodeFinishedTasks(value);
+    if (!job || !finished) {
+      cluster.obsoleteKeys.add(key);
+      return STEPS_PER_RECORD;
     }
+    job.loadBits(chunk.firstTask, finished);
+    // A chunk in the format of an earlier version is never rewritten but deleted with its job.
+    if (chunk.chunk === null) job.ownedKeys.push(key);
+    else job.chunkVersions.set(chunk.chunk, version);
+    return STEPS_PER_RECORD + finished.length;
   }
 
   /**
-   * Marks the dependency pages of ended jobs for deletion. A page is written in one
+   * Marks a dependency page of an ended job for deletion. A page is written in one
    * transaction with its job, so a page that is newer than the list of live jobs
-   * belongs to a job that the list does not contain yet.
+   * belongs to a job that the list does not contain yet. Returns the steps that it
+   * took.
    */
-  private markOrphanedDependencyPages(pages: readonly Entry[], liveRevision: number): void {
+  private markOrphanedDependencyPage({ key, version }: Entry, liveRevision: number): number {
     const { cluster } = this;
-    for (const { key, version } of pages) {
-      const [jobId = ''] = key.slice(DEPENDENCY_PAGE_PREFIX.length).split('/');
-      if (!cluster.jobs.has(jobId) && version <= liveRevision) cluster.obsoleteKeys.add(key);
-    }
+    const [jobId = ''] = key.slice(DEPENDENCY_PAGE_PREFIX.length).split('/');
+    if (!cluster.jobs.has(jobId) && version <= liveRevision) cluster.obsoleteKeys.add(key);
+    return 1;
   }
 }
--- a/src/scheduler/state/job-registry.ts
+++ b/src/scheduler/state/job-registry.ts
@@ -123,9 +123,10 @@
     this.callersApplyingChanges++;
   }
 
-  /** Ends a deferral. The deferred changes are passed on by the next calls of `DependencyGraph.propagate`. */
+  /** Ends a deferral. After the last one, the changes are passed on like a single change. */
   resumePropagation(): void {
     this.callersApplyingChanges--;
+    this.passOnChanges();
   }
 
   /** Ends a job whose cancellation is durable at this revision, unless the job watch has reached that revision. */
