A round searches the machines once for each kind of waiting batches

Each starving job is a batch of its own, and each batch searched all machines and attempts for a slot, a machine to reserve and work to preempt.

Fix: what a search found out holds for all batches of the same kind until a task is started or preempted; until then a round only takes capacity away. A preemption plan looks for the cheapest victim of each machine and lists all victims only where it takes some.

--- a/src/scheduler/placement/placement-round.ts
+++ b/src/scheduler/placement/placement-round.ts
@@ -9,11 +9,12 @@
 import type { ClusterState } from '../state/cluster-state.js';
 import type { Machine, TaskAttempt } from '../state/task-attempt.js';
 import { allowedStarts, assignTasks, type PlacementContext } from './assignment.js';
+import { batchKind, KindFindings } from './batch-kind.js';
 import { acceptsTasks, isFeasible } from './feasibility.js';
 import { applyPreemption, PreemptionPlanner } from './preemption.js';
 import { isReady, readyBatches } from './ready-queue.js';
 import { remainingQuotaSlots, reserveQuota } from './remaining-slots.js';
-import { releaseExpiredReservations, reserveMachine } from './reservations.js';
+import { findMachineToReserve, releaseExpiredReservations } from './reservations.js';
 import { highestPrice, MachineScorer } from './scoring.js';
 
 /**
@@ -27,6 +28,8 @@
   started: TaskAttempt[];
   /** Number of tasks that were not placed. */
   unplaced: number;
+  /** Number of times that a machine or an attempt on it was visited. */
+  visits: number;
 }
 
 /** The state of a placement round. */
@@ -40,6 +43,9 @@
   readonly candidates: Machine[];
   readonly scorer: MachineScorer;
   readonly preemption: PreemptionPlanner;
+  readonly findings: KindFindings;
+  /** Number of times that a machine was visited to place or to reserve. */
+  machineVisits: number;
   /** Number of attempts in this round to reserve a machine for a starving job. */
   machineReservations: number;
 }
@@ -63,7 +69,11 @@
     unplaced += remaining;
     if (remaining > 0) reserveAndPreempt(round, batch, remaining);
   }
-  return { started: round.started, unplaced };
+  return {
+    started: round.started,
+    unplaced,
+    visits: round.machineVisits + round.preemption.visits,
+  };
 }
 
 function beginRound(cluster: ClusterState, maxStarts: number, now: number): PlacementRound {
@@ -75,6 +85,7 @@
   releaseExpiredReservations(machines, now);
   cluster.unplacedBatches = [];
   cluster.reservedQuota.clear();
+  const findings = new KindFindings();
   return {
     cluster,
     now,
@@ -84,7 +95,9 @@
     machines,
     candidates,
     scorer: new MachineScorer(cluster.policy.weights, highestPrice(cluster.machineTypes)),
-    preemption: new PreemptionPlanner(cluster, machines, now),
+    preemption: new PreemptionPlanner(cluster, machines, now, findings),
+    findings,
+    machineVisits: machines.length,
     machineReservations: 0,
   };
 }
@@ -94,17 +107,31 @@
  * the number not placed.
  */
 function placeBatch(round: PlacementRound, batch: Batch): number {
+  const kind = batchKind(batch);
   let unplaced = batch.taskCount;
+  if (round.findings.isWithoutMachine(kind)) return unplaced;
+  round.machineVisits += round.candidates.length;
   const feasible = round.candidates.filter((machine) => isFeasible(machine, batch));
+  let excludedMachines = 0;
   while (unplaced > 0) {
     const allowed = allowedStarts(round, batch, unplaced);
     if (allowed <= 0) break;
+    round.machineVisits += feasible.length;
     const machine = round.scorer.highestScoring(batch, feasible, unplaced);
-    if (!machine) break;
+    if (!machine) {
+      // A machine that is excluded for the jobs of this batch may suit another batch of the kind.
+      if (excludedMachines === 0) round.findings.recordWithoutMachine(kind);
+      break;
+    }
     const assigned = assignTasks(round, batch, batch.jobs, machine, allowed);
     unplaced -= assigned;
+    if (assigned > 0) {
+      round.findings.clear();
+      continue;
+    }
     // Zone rules or earlier failures exclude every job of the batch from this machine.
-    if (assigned === 0) feasible.splice(feasible.indexOf(machine), 1);
+    feasible.splice(feasible.indexOf(machine), 1);
+    excludedMachines++;
   }
   return unplaced;
 }
@@ -129,8 +156,13 @@
   const { machines, candidates } = round;
   if (round.machineReservations >= machines.length * RESERVED_MACHINES_SHARE) return;
   round.machineReservations++;
-  const reserved = reserveMachine(batch, machines);
-  const index = reserved ? candidates.indexOf(reserved) : -1;
+  const reserved = round.findings.machineToReserve(batchKind(batch), () => {
+    round.machineVisits += machines.length;
+    return findMachineToReserve(batch, machines);
+  });
+  if (!reserved) return;
+  reserved.reservedForJob = batch.jobs[0]?.spec.id ?? null;
+  const index = candidates.indexOf(reserved);
   if (index >= 0) candidates.splice(index, 1);
 }
 
--- a/src/scheduler/placement/preemption.ts
+++ b/src/scheduler/placement/preemption.ts
@@ -3,6 +3,7 @@
  * Planning changes nothing. Applying a plan stops its victims and reserves the
  * capacity that they free.
  */
+import TinyQueue from 'tinyqueue';
 import type { JobSpec } from '../../model/job.js';
 import type { MachineType } from '../../model/machine.js';
 import { EPSILON } from '../../model/resources.js';
@@ -10,6 +11,7 @@
 import type { ClusterState } from '../state/cluster-state.js';
 import { satisfiesConstraints } from '../state/constraints.js';
 import type { Machine, TaskAttempt } from '../state/task-attempt.js';
+import { type BatchKind, batchKind, KindFindings } from './batch-kind.js';
 import { addReservation } from './reservations.js';
 
 /**
@@ -54,12 +56,18 @@
 /** A machine with tasks that may be preempted. */
 interface PreemptionCandidate {
   machine: Machine;
-  /** Capacity that is free, or is being freed, without further preemption. */
-  free: Capacity;
-  /** In ascending order of the work lost. */
-  victims: Victim[];
+  /** Position of the machine in the round. Of two equally good candidates, the first is taken. */
+  position: number;
+  /** CPU seconds of work that the preemption of its cheapest victim would lose. */
+  lostCpuSeconds: number;
+}
+
+function byLostWork(a: PreemptionCandidate, b: PreemptionCandidate): number {
+  return a.lostCpuSeconds - b.lostCpuSeconds || a.position - b.position;
 }
 
+const NOTHING: Readonly<Capacity> = { cpus: 0, gpus: 0, memoryGb: 0 };
+
 /** The kinds of work that a batch may preempt now. */
 interface PreemptionScope {
   /** Work of lower priority. */
@@ -87,12 +95,15 @@
  * same capacity.
  */
 export class PreemptionPlanner {
+  /** Number of machines and attempts visited. */
+  visits = 0;
   private readonly claimedByMachine = new Map<Machine, Capacity>();
 
   constructor(
     private readonly cluster: ClusterState,
     private readonly machines: Machine[],
     private readonly now: number,
+    private readonly findings = new KindFindings(),
   ) {}
 
   /**
@@ -105,26 +116,24 @@
   plan(batch: Batch, unplaced: number): Preemption[] {
     const scope = this.scopeOf(batch);
     if (!scope.lowerPriority && !scope.beyondGuarantee) return [];
+    const kind = preemptionKind(batch, scope);
+    if (this.findings.isWithoutPreemption(kind)) return [];
     const plan: Preemption[] = [];
     const candidates: PreemptionCandidate[] = [];
     let needed = unplaced;
-    for (const machine of this.machines) {
+    this.visits += this.machines.length;
+    for (const [position, machine] of this.machines.entries()) {
       if (!machine.type || !satisfiesConstraints(machine, batch.spec)) continue;
-      const claimed = this.claimedOn(machine);
-      const free = freeCapacity(machine, machine.type, claimed);
-      const victims = this.collectVictims(batch, machine, free, scope);
-      needed -= claimFreeCapacity(batch.spec, free, claimed, needed);
-      if (victims.length === 0) continue;
-      victims.sort((a, b) => a.lostCpuSeconds - b.lostCpuSeconds);
-      candidates.push({ machine, free, victims });
-    }
-    candidates.sort(
-      (a, b) => (a.victims[0]?.lostCpuSeconds ?? 0) - (b.victims[0]?.lostCpuSeconds ?? 0),
-    );
-    for (const candidate of candidates) {
-      if (needed <= 0) break;
-      needed -= this.planOnMachine(batch, candidate, needed, plan);
+      const lostCpuSeconds = this.cheapestPreemption(batch, machine, scope);
+      needed -= this.claimFree(batch.spec, machine, machine.type, needed);
+      if (lostCpuSeconds !== null) candidates.push({ machine, position, lostCpuSeconds });
     }
+    const cheapestFirst = new TinyQueue(needed > 0 ? candidates : [], byLostWork);
+    for (let next = cheapestFirst.pop(); next && needed > 0; next = cheapestFirst.pop())
+      needed -= this.planOnMachine(batch, next.machine, scope, needed, plan);
+    if (plan.length > 0) this.findings.clear();
+    // Another batch of this kind would find that this one has claimed all it could.
+    if (needed > 0) this.findings.recordWithoutPreemption(kind);
     return plan;
   }
 
@@ -140,33 +149,58 @@
   }
 
   private claimedOn(machine: Machine): Capacity {
-    const claimed = this.claimedByMachine.get(machine) ?? { cpus: 0, gpus: 0, memoryGb: 0 };
+    const claimed = this.claimedByMachine.get(machine) ?? { ...NOTHING };
     this.claimedByMachine.set(machine, claimed);
     return claimed;
   }
 
   /**
-   * Returns the tasks on the machine that the batch may preempt. Adds the capacity of
-   * tasks already being stopped to `free`.
+   * Returns the CPU seconds of work that the cheapest preemption on the machine loses;
+   * null if the batch may preempt none of its tasks.
    */
-  private collectVictims(
+  private cheapestPreemption(
     batch: Batch,
     machine: Machine,
-    free: Capacity,
     scope: PreemptionScope,
-  ): Victim[] {
-    const victims: Victim[] = [];
+  ): number | null {
+    let cheapest: number | null = null;
+    this.visits += machine.attempts.size;
     for (const attempt of machine.attempts.values()) {
-      const { spec } = attempt.job;
-      if (attempt.state === 'exited' || attempt.state === 'assigned') continue;
-      if (attempt.stopRequest) addCapacity(free, spec, 1);
-      else if (isPreemptible(this.cluster, batch, attempt, scope))
-        victims.push({
-          attempt,
-          lostCpuSeconds: lostWorkS(attempt, this.now) * Math.max(spec.cpus, EPSILON),
-        });
+      if (!this.isVictim(batch, attempt, scope)) continue;
+      const lostCpuSeconds = this.lostCpuSeconds(attempt);
+      if (cheapest === null || lostCpuSeconds < cheapest) cheapest = lostCpuSeconds;
     }
-    return victims;
+    return cheapest;
+  }
+
+  /** Returns the tasks on the machine that the batch may preempt, in ascending order of the work lost. */
+  private collectVictims(batch: Batch, machine: Machine, scope: PreemptionScope): Victim[] {
+    const victims: Victim[] = [];
+    this.visits += machine.attempts.size;
+    for (const attempt of machine.attempts.values())
+      if (this.isVictim(batch, attempt, scope))
+        victims.push({ attempt, lostCpuSeconds: this.lostCpuSeconds(attempt) });
+    return victims.sort((a, b) => a.lostCpuSeconds - b.lostCpuSeconds);
+  }
+
+  private isVictim(batch: Batch, attempt: TaskAttempt, scope: PreemptionScope): boolean {
+    if (!occupiesMachine(attempt) || attempt.stopRequest) return false;
+    return isPreemptible(this.cluster, batch, attempt, scope);
+  }
+
+  private lostCpuSeconds(attempt: TaskAttempt): number {
+    return lostWorkS(attempt, this.now) * Math.max(attempt.job.spec.cpus, EPSILON);
+  }
+
+  /**
+   * Claims capacity of the machine that is free, or is being freed, for up to
+   * `maxTasks` tasks. Returns the number of tasks that it sufficed for.
+   */
+  private claimFree(spec: JobSpec, machine: Machine, type: MachineType, maxTasks: number): number {
+    if (maxTasks <= 0) return 0;
+    const free = freeCapacity(machine, type, this.claimedByMachine.get(machine) ?? NOTHING);
+    if (!covers(free, spec)) return 0;
+    return claimFreeCapacity(spec, free, this.claimedOn(machine), maxTasks);
   }
 
   /**
@@ -177,16 +211,18 @@
    */
   private planOnMachine(
     batch: Batch,
-    candidate: PreemptionCandidate,
+    machine: Machine,
+    scope: PreemptionScope,
     needed: number,
     plan: Preemption[],
   ): number {
     const { spec } = batch;
-    const { machine, free } = candidate;
+    if (!machine.type) return 0;
     const claimed = this.claimedOn(machine);
+    const free = freeCapacity(machine, machine.type, claimed);
     let freed = 0;
     let victims: Victim[] = [];
-    for (const victim of candidate.victims) {
+    for (const victim of this.collectVictims(batch, machine, scope)) {
       if (freed >= needed) break;
       victims.push(victim);
       addCapacity(free, victim.attempt.job.spec, 1);
@@ -209,6 +245,11 @@
   }
 }
 
+/** Returns the kind of the batch together with what it may preempt, which depends on its age. */
+function preemptionKind(batch: Batch, scope: PreemptionScope): BatchKind {
+  return `${batchKind(batch)}|${scope.lowerPriority}|${scope.beyondGuarantee}`;
+}
+
 /** Stops the victims of the plan and reserves the capacity that they free for the batch. */
 export function applyPreemption(cluster: ClusterState, batch: Batch, plan: Preemption[]): void {
   for (const { machine, victims, slots, reservedUntil } of plan) {
@@ -264,13 +305,24 @@
   capacity.memoryGb += sign * spec.memoryGb;
 }
 
-/** Returns the capacity that is neither used by a task nor claimed. */
-function freeCapacity(machine: Machine, type: MachineType, claimed: Capacity): Capacity {
-  return {
+/**
+ * Returns the capacity that is not claimed and that no task uses, except for tasks
+ * that are being stopped.
+ */
+function freeCapacity(machine: Machine, type: MachineType, claimed: Readonly<Capacity>): Capacity {
+  const free = {
     cpus: type.cpus - machine.usedCpus - claimed.cpus,
     gpus: type.gpus - machine.usedGpus - claimed.gpus,
     memoryGb: type.memoryGb - machine.usedMemoryGb - claimed.memoryGb,
   };
+  for (const attempt of machine.attempts.values())
+    if (attempt.stopRequest && occupiesMachine(attempt)) addCapacity(free, attempt.job.spec, 1);
+  return free;
+}
+
+/** Reports whether the machine has listed the attempt and has not listed its exit. */
+function occupiesMachine({ state }: TaskAttempt): boolean {
+  return state !== 'exited' && state !== 'assigned';
 }
 
 /**
--- a/src/scheduler/placement/reservations.ts
+++ b/src/scheduler/placement/reservations.ts
@@ -48,12 +48,12 @@
 }
 
 /**
- * Reserves the least utilized machine that is large enough for a task of the
- * batch, so that it accepts no other work until the task fits. Otherwise a task
- * too large for the gaps that smaller tasks leave would wait forever. Returns null
- * if no machine is large enough.
+ * Returns the least utilized machine that is large enough for a task of the batch,
+ * to be reserved so that it accepts no other work until the task fits. Otherwise a
+ * task too large for the gaps that smaller tasks leave would wait forever. Returns
+ * null if no machine is large enough.
  */
-export function reserveMachine(batch: Batch, machines: Machine[]): Machine | null {
+export function findMachineToReserve(batch: Batch, machines: Machine[]): Machine | null {
   let reserved: Machine | null = null;
   for (const machine of machines)
     if (
@@ -62,6 +62,5 @@
       slotsOnType(machine.type, batch.spec) > 0
     )
       if (!reserved || machine.utilization < reserved.utilization) reserved = machine;
-  if (reserved) reserved.reservedForJob = batch.jobs[0]?.spec.id ?? null;
   return reserved;
 }
