A placement round ends its searches after a bounded number of visits

Cause: a round ended only when it had dealt with all batches; its limit on starts does not limit the machines that it looks at.

Fix: 500,000 visits each for free slots, for machines to reserve and for work to preempt. Batches that the search for slots leaves out are placed in answers to heartbeats, as before, and by the next round, which is due at once. Preemptions are planned in passes that go on in the next round with the batches not planned for, with what they have claimed; all else is read anew. A task that starts on a machine reduces what the pass has claimed there.

Tests (round-visits): without the limit, as before, 1,819,600 visits of 1,515,000 allowed; a pass over several rounds stops one task for each job, also when jobs end, a machine is lost and tasks end and start in between. Without the release of claims the latter fails.

--- a/src/controller/leader/scheduling-loop.ts
+++ b/src/controller/leader/scheduling-loop.ts
@@ -72,8 +72,8 @@
   }
 
   /**
-   * Returns true when the round reached its limit of starts, so that the next one
-   * is due immediately.
+   * Returns true when the round reached its limit of starts or of visits, so that
+   * the next one is due immediately.
    */
   private runRound(now: number): boolean {
     const { cluster, commands } = this.options;
@@ -84,7 +84,7 @@
     // Deferred, so that the response to a heartbeat that is being handled takes its machine's
     // commands first.
     commands.deferSendPending();
-    return result.started.length >= limit;
+    return result.unfinished || result.started.length >= limit;
   }
 
   /**
--- a/src/scheduler/placement/assignment.ts
+++ b/src/scheduler/placement/assignment.ts
@@ -66,6 +66,7 @@
       const attempt = cluster.assign(job, index, machine, now);
       attempt.exemptFromPreemption = batch.starving;
       consumeReservation(machine, batch);
+      cluster.unfinishedPreemptionPass?.releaseClaim(machine, job.spec);
       started.push(attempt);
       assigned++;
       slots--;
--- a/src/scheduler/placement/placement-round.ts
+++ b/src/scheduler/placement/placement-round.ts
@@ -7,6 +7,7 @@
 
 import type { Batch } from '../state/batch.js';
 import type { ClusterState } from '../state/cluster-state.js';
+import { PreemptionPass } from '../state/preemption-pass.js';
 import type { Machine, TaskAttempt } from '../state/task-attempt.js';
 import { allowedStarts, assignTasks, type PlacementContext } from './assignment.js';
 import { batchKind, KindFindings } from './batch-kind.js';
@@ -23,6 +24,14 @@
  */
 const RESERVED_MACHINES_SHARE = 0.1;
 
+/**
+ * Visits of machines, and of attempts on them, after which a round ends its search for
+ * free slots, for machines to reserve, or for work to preempt. A fleet of 4,000
+ * machines is searched a hundred times for slots and a dozen times for work to
+ * preempt. The next round goes on.
+ */
+const MAX_VISITS_PER_SEARCH = 500_000;
+
 /** The result of a placement round. */
 export interface PlacementResult {
   started: TaskAttempt[];
@@ -30,6 +39,8 @@
   unplaced: number;
   /** Number of times that a machine or an attempt on it was visited. */
   visits: number;
+  /** Whether a search ended before it had reached all batches, so that the next round is due. */
+  unfinished: boolean;
 }
 
 /** The state of a placement round. */
@@ -43,11 +54,16 @@
   readonly candidates: Machine[];
   readonly scorer: MachineScorer;
   readonly preemption: PreemptionPlanner;
+  readonly preemptionPass: PreemptionPass;
   readonly findings: KindFindings;
-  /** Number of times that a machine was visited to place or to reserve. */
-  machineVisits: number;
+  /** Number of times that a machine was visited to place tasks. */
+  placementVisits: number;
+  /** Number of times that a machine was visited to find one to reserve. */
+  reservationVisits: number;
   /** Number of attempts in this round to reserve a machine for a starving job. */
   machineReservations: number;
+  /** Whether preemptions for some batch are left to a later round. */
+  preemptionUnfinished: boolean;
 }
 
 /**
@@ -69,10 +85,12 @@
     unplaced += remaining;
     if (remaining > 0) reserveAndPreempt(round, batch, remaining);
   }
+  cluster.unfinishedPreemptionPass = round.preemptionUnfinished ? round.preemptionPass : null;
   return {
     started: round.started,
     unplaced,
-    visits: round.machineVisits + round.preemption.visits,
+    visits: round.placementVisits + round.reservationVisits + round.preemption.visits,
+    unfinished: round.preemptionUnfinished || hasSearchedEnough(round),
   };
 }
 
@@ -86,6 +104,7 @@
   cluster.unplacedBatches = [];
   cluster.reservedQuota.clear();
   const findings = new KindFindings();
+  const preemptionPass = cluster.unfinishedPreemptionPass ?? new PreemptionPass();
   return {
     cluster,
     now,
@@ -95,10 +114,13 @@
     machines,
     candidates,
     scorer: new MachineScorer(cluster.policy.weights, highestPrice(cluster.machineTypes)),
-    preemption: new PreemptionPlanner(cluster, machines, now, findings),
+    preemption: new PreemptionPlanner(cluster, machines, now, findings, preemptionPass),
+    preemptionPass,
     findings,
-    machineVisits: machines.length,
+    placementVisits: 0,
+    reservationVisits: 0,
     machineReservations: 0,
+    preemptionUnfinished: false,
   };
 }
 
@@ -109,14 +131,14 @@
 function placeBatch(round: PlacementRound, batch: Batch): number {
   const kind = batchKind(batch);
   let unplaced = batch.taskCount;
-  if (round.findings.isWithoutMachine(kind)) return unplaced;
-  round.machineVisits += round.candidates.length;
+  if (hasSearchedEnough(round) || round.findings.isWithoutMachine(kind)) return unplaced;
+  round.placementVisits += round.candidates.length;
   const feasible = round.candidates.filter((machine) => isFeasible(machine, batch));
   let excludedMachines = 0;
-  while (unplaced > 0) {
+  while (unplaced > 0 && !hasSearchedEnough(round)) {
     const allowed = allowedStarts(round, batch, unplaced);
     if (allowed <= 0) break;
-    round.machineVisits += feasible.length;
+    round.placementVisits += feasible.length;
     const machine = round.scorer.highestScoring(batch, feasible, unplaced);
     if (!machine) {
       // A machine that is excluded for the jobs of this batch may suit another batch of the kind.
@@ -136,28 +158,52 @@
   return unplaced;
 }
 
+/**
+ * Reports whether the round has visited as many machines to place tasks as one round
+ * may. The other batches are placed as machines send heartbeats, or by later rounds.
+ */
+function hasSearchedEnough(round: PlacementRound): boolean {
+  return round.placementVisits >= MAX_VISITS_PER_SEARCH;
+}
+
 /**
  * Reserves and preempts for a batch with `unplaced` tasks that found no machine,
- * unless they are unplaced because of the quota or the limit on starts.
+ * unless they are unplaced because of the quota or the limits of the round.
  */
 function reserveAndPreempt(round: PlacementRound, batch: Batch, unplaced: number): void {
   const { cluster, maxStarts, unconfirmedUsage, started } = round;
   cluster.unplacedBatches.push(batch);
   // Otherwise the quota that smaller tasks of the team free would always go to other small tasks.
   reserveQuota(cluster, batch);
-  if (started.length >= maxStarts || remainingQuotaSlots(cluster, batch, unconfirmedUsage) === 0)
-    return;
+  if (started.length >= maxStarts || hasSearchedEnough(round)) return;
+  if (remainingQuotaSlots(cluster, batch, unconfirmedUsage) === 0) return;
   if (batch.starving) reserveForStarving(round, batch);
-  applyPreemption(cluster, batch, round.preemption.plan(batch, unplaced));
+  preemptFor(round, batch, unplaced);
+}
+
+/**
+ * Plans and applies preemptions for the batch. When the round has visited enough,
+ * they are left to the next round, which goes on with the batches not planned for.
+ */
+function preemptFor(round: PlacementRound, batch: Batch, unplaced: number): void {
+  const { cluster, preemption, preemptionPass } = round;
+  if (!preemption.mayPreempt(batch) || preemptionPass.hasPlanned(batch)) return;
+  if (preemption.visits >= MAX_VISITS_PER_SEARCH) {
+    round.preemptionUnfinished = true;
+    return;
+  }
+  preemptionPass.recordPlanned(batch);
+  applyPreemption(cluster, batch, preemption.plan(batch, unplaced));
 }
 
 /** Reserves a machine for the batch and excludes it from the rest of this round. */
 function reserveForStarving(round: PlacementRound, batch: Batch): void {
   const { machines, candidates } = round;
   if (round.machineReservations >= machines.length * RESERVED_MACHINES_SHARE) return;
+  if (round.reservationVisits >= MAX_VISITS_PER_SEARCH) return;
   round.machineReservations++;
   const reserved = round.findings.machineToReserve(batchKind(batch), () => {
-    round.machineVisits += machines.length;
+    round.reservationVisits += machines.length;
     return findMachineToReserve(batch, machines);
   });
   if (!reserved) return;
--- a/src/scheduler/placement/preemption.ts
+++ b/src/scheduler/placement/preemption.ts
@@ -6,10 +6,11 @@
 import TinyQueue from 'tinyqueue';
 import type { JobSpec } from '../../model/job.js';
 import type { MachineType } from '../../model/machine.js';
-import { EPSILON } from '../../model/resources.js';
+import { EPSILON, type ResourceRequest } from '../../model/resources.js';
 import type { Batch } from '../state/batch.js';
 import type { ClusterState } from '../state/cluster-state.js';
 import { satisfiesConstraints } from '../state/constraints.js';
+import { PreemptionPass } from '../state/preemption-pass.js';
 import type { Machine, TaskAttempt } from '../state/task-attempt.js';
 import { type BatchKind, batchKind, KindFindings } from './batch-kind.js';
 import { addReservation } from './reservations.js';
@@ -39,13 +40,6 @@
  */
 const RESERVATION_HEARTBEATS = 3;
 
-/** Amounts of a machine's resources. */
-interface Capacity {
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
-}
-
 /** A task that may be preempted. */
 interface Victim {
   attempt: TaskAttempt;
@@ -66,8 +60,6 @@
   return a.lostCpuSeconds - b.lostCpuSeconds || a.position - b.position;
 }
 
-const NOTHING: Readonly<Capacity> = { cpus: 0, gpus: 0, memoryGb: 0 };
-
 /** The kinds of work that a batch may preempt now. */
 interface PreemptionScope {
   /** Work of lower priority. */
@@ -90,22 +82,26 @@
 }
 
 /**
- * Plans the preemptions of one round. Tracks the capacity of each machine that
- * the round has claimed for waiting batches, so that no two batches claim the
- * same capacity.
+ * Plans the preemptions of one round, which may continue the pass over the waiting
+ * batches that an earlier round has begun.
  */
 export class PreemptionPlanner {
   /** Number of machines and attempts visited. */
   visits = 0;
-  private readonly claimedByMachine = new Map<Machine, Capacity>();
-
   constructor(
     private readonly cluster: ClusterState,
     private readonly machines: Machine[],
     private readonly now: number,
     private readonly findings = new KindFindings(),
+    private readonly pass = new PreemptionPass(),
   ) {}
 
+  /** Reports whether the batch has waited long enough to preempt other work. */
+  mayPreempt(batch: Batch): boolean {
+    const { lowerPriority, beyondGuarantee } = this.scopeOf(batch);
+    return lowerPriority || beyondGuarantee;
+  }
+
   /**
    * Plans the preemptions for `unplaced` tasks of the batch. Candidates are work
    * of lower priority and, for a batch within its team's guarantee, work that
@@ -114,8 +110,8 @@
    * work that their first victim loses.
    */
   plan(batch: Batch, unplaced: number): Preemption[] {
+    if (!this.mayPreempt(batch)) return [];
     const scope = this.scopeOf(batch);
-    if (!scope.lowerPriority && !scope.beyondGuarantee) return [];
     const kind = preemptionKind(batch, scope);
     if (this.findings.isWithoutPreemption(kind)) return [];
     const plan: Preemption[] = [];
@@ -148,12 +144,6 @@
     };
   }
 
-  private claimedOn(machine: Machine): Capacity {
-    const claimed = this.claimedByMachine.get(machine) ?? { ...NOTHING };
-    this.claimedByMachine.set(machine, claimed);
-    return claimed;
-  }
-
   /**
    * Returns the CPU seconds of work that the cheapest preemption on the machine loses;
    * null if the batch may preempt none of its tasks.
@@ -198,9 +188,36 @@
    */
   private claimFree(spec: JobSpec, machine: Machine, type: MachineType, maxTasks: number): number {
     if (maxTasks <= 0) return 0;
-    const free = freeCapacity(machine, type, this.claimedByMachine.get(machine) ?? NOTHING);
-    if (!covers(free, spec)) return 0;
-    return claimFreeCapacity(spec, free, this.claimedOn(machine), maxTasks);
+    const free = this.freeCapacity(machine, type);
+    return this.claimFrom(free, spec, machine, maxTasks);
+  }
+
+  /** Claims `free` capacity of the machine for up to `maxTasks` tasks and returns their number. */
+  private claimFrom(
+    free: ResourceRequest,
+    spec: JobSpec,
+    machine: Machine,
+    maxTasks: number,
+  ): number {
+    const tasks = takeCapacity(free, spec, maxTasks);
+    if (tasks > 0) this.pass.claim(machine, spec, tasks);
+    return tasks;
+  }
+
+  /**
+   * Returns the capacity that is not claimed and that no task uses, except for tasks
+   * that are being stopped.
+   */
+  private freeCapacity(machine: Machine, type: MachineType): ResourceRequest {
+    const claimed = this.pass.claimedOn(machine);
+    const free = {
+      cpus: type.cpus - machine.usedCpus - claimed.cpus,
+      gpus: type.gpus - machine.usedGpus - claimed.gpus,
+      memoryGb: type.memoryGb - machine.usedMemoryGb - claimed.memoryGb,
+    };
+    for (const attempt of machine.attempts.values())
+      if (attempt.stopRequest && occupiesMachine(attempt)) addCapacity(free, attempt.job.spec, 1);
+    return free;
   }
 
   /**
@@ -218,8 +235,7 @@
   ): number {
     const { spec } = batch;
     if (!machine.type) return 0;
-    const claimed = this.claimedOn(machine);
-    const free = freeCapacity(machine, machine.type, claimed);
+    const free = this.freeCapacity(machine, machine.type);
     let freed = 0;
     let victims: Victim[] = [];
     for (const victim of this.collectVictims(batch, machine, scope)) {
@@ -227,7 +243,7 @@
       victims.push(victim);
       addCapacity(free, victim.attempt.job.spec, 1);
       if (!covers(free, spec)) continue;
-      const slots = claimFreeCapacity(spec, free, claimed, needed - freed);
+      const slots = this.claimFrom(free, spec, machine, needed - freed);
       plan.push({ machine, victims, slots, reservedUntil: this.reservedUntil(victims) });
       freed += slots;
       victims = [];
@@ -290,7 +306,7 @@
     : priorityPreemptionDelayMs(cluster, spec);
 }
 
-function covers(capacity: Capacity, spec: JobSpec): boolean {
+function covers(capacity: ResourceRequest, spec: JobSpec): boolean {
   return (
     capacity.cpus + EPSILON >= spec.cpus &&
     capacity.gpus + EPSILON >= spec.gpus &&
@@ -299,49 +315,25 @@
 }
 
 /** Adds (`sign` 1) or subtracts (`sign` -1) the resource request of one task. */
-function addCapacity(capacity: Capacity, spec: JobSpec, sign: 1 | -1): void {
+function addCapacity(capacity: ResourceRequest, spec: JobSpec, sign: 1 | -1): void {
   capacity.cpus += sign * spec.cpus;
   capacity.gpus += sign * spec.gpus;
   capacity.memoryGb += sign * spec.memoryGb;
 }
 
-/**
- * Returns the capacity that is not claimed and that no task uses, except for tasks
- * that are being stopped.
- */
-function freeCapacity(machine: Machine, type: MachineType, claimed: Readonly<Capacity>): Capacity {
-  const free = {
-    cpus: type.cpus - machine.usedCpus - claimed.cpus,
-    gpus: type.gpus - machine.usedGpus - claimed.gpus,
-    memoryGb: type.memoryGb - machine.usedMemoryGb - claimed.memoryGb,
-  };
-  for (const attempt of machine.attempts.values())
-    if (attempt.stopRequest && occupiesMachine(attempt)) addCapacity(free, attempt.job.spec, 1);
-  return free;
-}
-
 /** Reports whether the machine has listed the attempt and has not listed its exit. */
 function occupiesMachine({ state }: TaskAttempt): boolean {
   return state !== 'exited' && state !== 'assigned';
 }
 
-/**
- * Claims free capacity for up to `maxTasks` tasks. Returns the number of tasks that it
- * sufficed for.
- */
-function claimFreeCapacity(
-  spec: JobSpec,
-  free: Capacity,
-  claimed: Capacity,
-  maxTasks: number,
-): number {
-  let slots = 0;
-  while (slots < maxTasks && covers(free, spec)) {
-    slots++;
+/** Takes free capacity for up to `maxTasks` tasks. Returns the number of tasks that it sufficed for. */
+function takeCapacity(free: ResourceRequest, spec: JobSpec, maxTasks: number): number {
+  let tasks = 0;
+  while (tasks < maxTasks && covers(free, spec)) {
+    tasks++;
     addCapacity(free, spec, -1);
-    addCapacity(claimed, spec, 1);
   }
-  return slots;
+  return tasks;
 }
 
 /** Reports whether the batch may preempt the attempt now. A larger priority index means a lower priority. */
--- a/src/scheduler/state/cluster-state.ts
+++ b/src/scheduler/state/cluster-state.ts
@@ -32,6 +32,7 @@
 import type { LeaderLag } from './leader-lag.js';
 import type { MachineRegistry } from './machine-registry.js';
 import type { DrainReason } from './machine-state.js';
+import type { PreemptionPass } from './preemption-pass.js';
 import type { QuotaUsage } from './quota-usage.js';
 import type { RoundTrigger } from './round-trigger.js';
 import type { Job, Machine, TaskAttempt } from './task-attempt.js';
@@ -64,6 +65,8 @@
 
   /** Batches for which the last placement round found no machine, in the order of the ready queue. */
   unplacedBatches: Batch[] = [];
+  /** The planning of preemptions that the last placement round did not finish; null if it did. */
+  unfinishedPreemptionPass: PreemptionPass | null = null;
   /** Wall-clock time minus monotonic time in milliseconds, for the ages of jobs. */
   wallClockOffsetMs = 0;
 
--- a/test/benchmarks/event-loop.ts
+++ b/test/benchmarks/event-loop.ts
@@ -56,7 +56,7 @@
 /** Fills all machines with tasks of low priority, eight each, that run since the beginning. */
 function fill(cluster: ClusterState, agents: ScriptedAgent[]): void {
   cluster.addJob(jobSpec({ tasks: MACHINES * 8, cpus: 2, memoryGb: 8, priority: 3 }), 1, 0, false);
-  runPlacementRound(cluster, MACHINES * 8, 0);
+  while (runPlacementRound(cluster, MACHINES * 8, 0).unfinished);
   for (const agent of agents) {
     sendHeartbeat(cluster, agent, 1);
     sendHeartbeat(cluster, agent, 2);
--- a/test/round-visits.test.ts
+++ b/test/round-visits.test.ts
@@ -57,8 +57,8 @@
     const { visits, unplaced } = runPlacementRound(cluster, 32, STARVING_AT);
     assert.equal(unplaced, count);
     assert.equal(cluster.unplacedBatches.length, count);
-    // The round itself, and for each kind a search for a machine, a reservation and a preemption.
-    const bound = size + kinds * (3 * size + attempts);
+    // For each kind a search for a machine, for one to reserve and for work to preempt.
+    const bound = kinds * (3 * size + attempts);
     assert.ok(visits <= bound, `${count} batches: ${visits} visits, bound ${bound}`);
   }
 });
@@ -142,3 +142,77 @@
     assert.deepEqual(playHistory(seed), shared[i], `seed ${seed}`);
   assert.ok(shared.some((decisions) => decisions.some((decision) => decision.startsWith('stop'))));
 });
+
+/** Visits that one round may make for each of its three searches, and the last batch of each. */
+const MAX_ROUND_VISITS = 3 * 500_000 * 1.01;
+
+/** Starving jobs that may preempt, each of a kind of its own. Each needs nearly all that one running task uses. */
+function addDistinctJobs(cluster: ClusterState, count: number): void {
+  for (let n = 2; n < count + 2; n++) {
+    const spec = jobSpec({ id: jobId(n), tasks: 1, priority: 1, cpus: 3.9 + (n % 997) / 10_000 });
+    cluster.addJob(spec, n, 0, false);
+  }
+}
+
+/** Returns the number of tasks that are being stopped. */
+function stoppedTasks(cluster: ClusterState): number {
+  let stopped = 0;
+  for (const machine of cluster.machines.values())
+    for (const { stopRequest, state } of machine.attempts.values())
+      if (stopRequest && state !== 'exited') stopped++;
+  return stopped;
+}
+
+test('a round with many kinds of batches visits a bounded number of machines, and later rounds plan for the others, once each', () => {
+  const { cluster } = createFullFleet(400);
+  const count = 900;
+  addDistinctJobs(cluster, count);
+  let rounds = 0;
+  for (let unfinished = true; unfinished; rounds++) {
+    const result = runPlacementRound(cluster, 32, STARVING_AT);
+    assert.ok(result.visits <= MAX_ROUND_VISITS, `${result.visits} visits`);
+    ({ unfinished } = result);
+  }
+  assert.ok(rounds > 1, `${rounds} rounds`);
+  // Each job takes the place of one task, and no task is stopped twice or for nobody.
+  assert.equal(stoppedTasks(cluster), count);
+});
+
+test('what changes between two rounds of a pass stands: ended jobs, lost machines, tasks that have ended and started', () => {
+  const { cluster, agents } = createFullFleet(400);
+  // On each machine one task has lost least, so that a pass returns to machines that it has used.
+  for (const machine of cluster.machines.values())
+    for (const [i, attempt] of [...machine.attempts.values()].entries())
+      attempt.runningSince = 1000 * i;
+  const count = 900;
+  addDistinctJobs(cluster, count);
+  const first = runPlacementRound(cluster, 32, STARVING_AT);
+  assert.equal(first.unfinished, true);
+  const stoppedAtFirst = stoppedTasks(cluster);
+  assert.ok(stoppedAtFirst > 100 && stoppedAtFirst < count - 100, `${stoppedAtFirst} stopped`);
+  // The last jobs, for which nothing has been planned, end.
+  const ended = 50;
+  for (let n = count + 2 - ended; n < count + 2; n++)
+    cluster.endJob(jobId(n), { state: 'cancelled', at: null });
+  // A machine without stopped tasks is lost. The stopped tasks of the others end, and the jobs that
+  // they were stopped for are started in their place.
+  const untouched = [...cluster.machines.values()].find((machine) =>
+    [...machine.attempts.values()].every((attempt) => !attempt.stopRequest),
+  );
+  assert.ok(untouched);
+  cluster.markTerminated(untouched.id, 'returned', STARVING_AT);
+  for (const agent of agents)
+    if (agent.id !== untouched.id) sendHeartbeat(cluster, agent, STARVING_AT);
+  for (const agent of agents)
+    if (agent.id !== untouched.id) sendHeartbeat(cluster, agent, STARVING_AT);
+  let started = 0;
+  let rounds = 0;
+  for (let unfinished = true; unfinished; rounds++) {
+    const result = runPlacementRound(cluster, count, STARVING_AT);
+    started += result.started.filter(({ job }) => job.priority === 1).length;
+    ({ unfinished } = result);
+    assert.ok(rounds < 50, 'the pass ends');
+  }
+  assert.equal(started, stoppedAtFirst);
+  assert.equal(stoppedTasks(cluster), count - ended - stoppedAtFirst);
+});
