--- a/src/controller/api/dependency-snapshot.ts
+++ b/src/controller/api/dependency-snapshot.ts
@@ -6,6 +6,10 @@
  * the depth of their dependency chains, and serves all requests until the
  * snapshot expires. The dependencies and the end of a job never change, so the
  * next snapshot reuses those that this one has read.
+ *
+ * Building it takes many turns of the event loop. It uses only what it has read and
+ * what the previous snapshot holds, and it counts as read when the reading began, so
+ * what changes meanwhile is as if it had changed after a quicker build.
  */
 import { readPrefix, SINGLE_READS } from '../../clients/key-ranges.js';
 import type { EndedJobRecord } from '../../records/job-end-record.js';
@@ -14,6 +18,7 @@
 import { mapIfObject } from '../../records/stored-form.js';
 import type { RequestPriority } from '../../runtime/request-budget.js';
 import type { ControllerContext } from '../context.js';
+import { applyInTurns, STEPS_PER_RECORD, TurnBudget } from '../work-in-turns.js';
 import { hasInlineDependencies, type JobStore } from './job-store.js';
 
 /** Final states of ended jobs, by job id. */
@@ -22,6 +27,9 @@
 /** Lists of job ids, by job id. */
 type JobIdLists = Map<string, readonly string[]>;
 
+/** What a snapshot needs of the controller's context. */
+export type SnapshotContext = Pick<ControllerContext, 'clock' | 'log' | 'state' | 'timing'>;
+
 /** Contents of a snapshot. */
 interface SnapshotContents {
   /** Time at which the read began, by this node's clock. */
@@ -59,7 +67,7 @@
 
   /** Reads a snapshot, reusing the immutable data of the previous one. */
   static async read(
-    ctx: Pick<ControllerContext, 'clock' | 'state'>,
+    ctx: SnapshotContext,
     store: JobStore,
     previous: DependencySnapshot | null,
     priority: RequestPriority,
@@ -67,16 +75,18 @@
     const readStartedAt = ctx.clock.now();
     const entries = await readPrefix(ctx.state, LIVE_JOB_PREFIX, priority);
     const records = new Map<string, LiveJobRecord>();
-    for (const entry of entries)
-      records.set(entry.key.slice(LIVE_JOB_PREFIX.length), mapIfObject(entry.value, decodeLiveJob));
+    await applyInTurns(ctx, 'dependency snapshot built', entries, ({ key, value }) => {
+      records.set(key.slice(LIVE_JOB_PREFIX.length), mapIfObject(value, decodeLiveJob));
+      return STEPS_PER_RECORD;
+    });
     const previousLists: JobIdLists = previous?.contents.separateLists ?? new Map();
     const separateLists = await readSeparateLists(store, records, previousLists, priority);
     const dependencies: JobIdLists = new Map();
     for (const [id, record] of records)
       dependencies.set(id, separateLists.get(id) ?? record.dependencies ?? []);
     const previousEndStates: EndStates = previous?.contents.endStates ?? new Map();
-    const endStates = await readEndStates(store, dependencies, previousEndStates, priority);
-    const cancelled = dependentsOfCancelled(dependencies, endStates);
+    const endStates = await readEndStates(ctx, store, dependencies, previousEndStates, priority);
+    const cancelled = await dependentsOfCancelled(ctx, dependencies, endStates);
     return new DependencySnapshot({
       readStartedAt,
       dependencies,
@@ -119,19 +129,28 @@
  * dependencies are looked up as well.
  */
 async function readEndStates(
+  ctx: SnapshotContext,
   store: JobStore,
   dependencies: JobIdLists,
   previousEndStates: EndStates,
   priority: RequestPriority,
 ): Promise<EndStates> {
   const endStates: EndStates = new Map();
-  let unresolved = distinctIds(dependencies.values());
-  while (unresolved.size > 0) {
-    const unknown = addKnownEndStates(endStates, unresolved, previousEndStates, dependencies);
-    const ended = await store.findManyEnded(unknown, priority);
+  let unresolved = [...dependencies.values()];
+  while (unresolved.length > 0) {
+    const unknown = new Set<string>();
+    await applyInTurns(ctx, 'dependency snapshot built', unresolved, (ids) => {
+      for (const id of ids) {
+        const endState = previousEndStates.get(id);
+        if (endState) endStates.set(id, endState);
+        else if (!dependencies.has(id) && !endStates.has(id)) unknown.add(id);
+      }
+      return ids.length;
+    });
+    const ended = await store.findManyEnded([...unknown], priority);
     for (const [id, job] of ended) endStates.set(id, job.record.state);
     const acceptedDuringRead = await store.findMany(
-      unknown.filter((id) => !ended.has(id)),
+      [...unknown].filter((id) => !ended.has(id)),
       priority,
     );
     const newLists: (readonly string[])[] = [];
@@ -144,59 +163,48 @@
       dependencies.set(id, list);
       newLists.push(list);
     }
-    unresolved = distinctIds(newLists);
+    unresolved = newLists;
   }
   return endStates;
 }
 
-/**
- * Copies the final states that the previous snapshot already has. Returns the
- * jobs that are neither live nor known to have ended.
- */
-function addKnownEndStates(
-  endStates: EndStates,
-  ids: Iterable<string>,
-  previousEndStates: EndStates,
-  live: JobIdLists,
-): string[] {
-  const unknown: string[] = [];
-  for (const id of ids) {
-    const endState = previousEndStates.get(id);
-    if (endState) endStates.set(id, endState);
-    else if (!live.has(id) && !endStates.has(id)) unknown.push(id);
-  }
-  return unknown;
-}
-
-function distinctIds(lists: Iterable<readonly string[]>): Set<string> {
-  const ids = new Set<string>();
-  for (const list of lists) for (const id of list) ids.add(id);
-  return ids;
-}
-
 /** Returns the direct dependents of each job that has any. */
-function directDependents(dependencies: JobIdLists): Map<string, string[]> {
+async function directDependents(
+  ctx: SnapshotContext,
+  dependencies: JobIdLists,
+): Promise<Map<string, string[]>> {
   const dependents = new Map<string, string[]>();
-  for (const [id, list] of dependencies)
+  await applyInTurns(ctx, 'dependency snapshot built', [...dependencies], ([id, list]) => {
     for (const dependency of list) {
       const others = dependents.get(dependency);
       if (others) others.push(id);
       else dependents.set(dependency, [id]);
     }
+    return 1 + list.length;
+  });
   return dependents;
 }
 
 /** Returns the live jobs that depend on a cancelled one, directly or transitively. */
-function dependentsOfCancelled(dependencies: JobIdLists, endStates: EndStates): Set<string> {
-  const dependents = directDependents(dependencies);
+async function dependentsOfCancelled(
+  ctx: SnapshotContext,
+  dependencies: JobIdLists,
+  endStates: EndStates,
+): Promise<Set<string>> {
   const cancelled = new Set<string>();
   const frontier: string[] = [];
   for (const [id, endState] of endStates) if (endState === 'cancelled') frontier.push(id);
-  for (let id = frontier.pop(); id !== undefined; id = frontier.pop())
-    for (const dependent of dependents.get(id) ?? []) {
+  if (frontier.length === 0) return cancelled;
+  const dependents = await directDependents(ctx, dependencies);
+  const turn = new TurnBudget();
+  for (let id = frontier.pop(); id !== undefined; id = frontier.pop()) {
+    const directly = dependents.get(id) ?? [];
+    for (const dependent of directly) {
       if (cancelled.has(dependent)) continue;
       cancelled.add(dependent);
       frontier.push(dependent);
     }
+    await turn.spend(1 + directly.length);
+  }
   return cancelled;
 }
--- a/src/controller/api/dependency-status.ts
+++ b/src/controller/api/dependency-status.ts
@@ -22,8 +22,7 @@
 import { SINGLE_READS } from '../../clients/key-ranges.js';
 import type { LiveJobRecord } from '../../records/job-record.js';
 import type { RequestPriority } from '../../runtime/request-budget.js';
-import type { ControllerContext } from '../context.js';
-import { DependencySnapshot } from './dependency-snapshot.js';
+import { DependencySnapshot, type SnapshotContext } from './dependency-snapshot.js';
 import { hasInlineDependencies, type JobStore, type StoredJob } from './job-store.js';
 
 /** A job as it was last read. An end is final; a live state expires after `dependencyFreshMs`. */
@@ -70,7 +69,7 @@
   private readsInFlight = 0;
 
   constructor(
-    private readonly ctx: Pick<ControllerContext, 'clock' | 'timing' | 'state'>,
+    private readonly ctx: SnapshotContext,
     private readonly store: JobStore,
   ) {}
 
--- a/src/controller/leader/dependency-resolver.ts
+++ b/src/controller/leader/dependency-resolver.ts
@@ -10,9 +10,10 @@
 import { RequestPriority } from '../../runtime/request-budget.js';
 import type { ClusterState } from '../../scheduler/state/cluster-state.js';
 import type { Job } from '../../scheduler/state/task-attempt.js';
-import type { JobStore } from '../api/job-store.js';
+import type { EndedJob, JobStore } from '../api/job-store.js';
 import type { ControllerContext } from '../context.js';
 import { measureHold } from '../event-loop-hold.js';
+import { applyInTurns, STEPS_PER_RECORD } from '../work-in-turns.js';
 
 /** Maximum number of dependency lists read concurrently. */
 const MAX_CONCURRENT_READS = 8;
@@ -89,11 +90,33 @@
   private async readEnds(ids: readonly string[], signal: AbortSignal): Promise<void> {
     if (ids.length === 0) return;
     const ends = await this.store.findManyEnded(ids, RequestPriority.completions, signal);
-    measureHold(this.ctx, 'job ends applied', () => {
-      for (const [id, { record }] of ends)
-        this.cluster.endJob(id, { state: record.state, at: record.at ?? null });
-    });
-    const missing = ids.find((id) => !ends.has(id));
+    await this.applyEnds(ends, signal);
+    // A job that has become known meanwhile is live.
+    const { jobsWithUnknownEnd } = this.cluster.dependencies;
+    const missing = ids.find((id) => !ends.has(id) && jobsWithUnknownEnd.has(id));
     if (missing !== undefined) throw new MissingDependencyError(missing);
   }
+
+  /**
+   * Records the ends in several turns of the event loop. An end is final, so it holds
+   * whatever changes between two turns.
+   */
+  private async applyEnds(ends: ReadonlyMap<string, EndedJob>, signal: AbortSignal): Promise<void> {
+    const { jobRegistry } = this.cluster;
+    jobRegistry.deferPropagation();
+    try {
+      await applyInTurns(
+        this.ctx,
+        'job ends applied',
+        [...ends],
+        ([id, { record }]) => {
+          this.cluster.endJob(id, { state: record.state, at: record.at ?? null });
+          return STEPS_PER_RECORD;
+        },
+        signal,
+      );
+    } finally {
+      jobRegistry.resumePropagation();
+    }
+  }
 }
--- a/src/controller/work-in-turns.ts
+++ b/src/controller/work-in-turns.ts
@@ -16,6 +16,19 @@
 /** Steps that decoding a record and adding what it describes take. */
 export const STEPS_PER_RECORD = 40;
 
+/** Counts the steps of work whose items become known only as it proceeds. */
+export class TurnBudget {
+  private steps = 0;
+
+  /** Counts steps that were carried out. Waits for the next turn once those of this turn are used up. */
+  async spend(steps: number): Promise<void> {
+    this.steps += steps;
+    if (this.steps < STEPS_PER_TURN) return;
+    this.steps = 0;
+    await nextTurn();
+  }
+}
+
 /**
  * Applies `apply`, which returns the steps that it took, to each item in order.
  * Throws `AbortedError` once the signal is aborted; the other items are left out.
