Delayed tasks are kept by the end of their delay

Whenever a job was checked for ready tasks (rounds, plans, heartbeats) all of its delayed tasks were looked at, and each that was due was cut out of the middle of a list. A job with a mistake may have up to 100,000.

Cause: the delayed tasks were an unsorted list.

Fix: a heap by the end of the delay. Those that are due are placed in the order in which they were delayed, as before.

Test: task-states "tasks whose delay has not ended are not looked at again"; before the fix 200,000 comparisons of 200 allowed.

--- a/src/scheduler/state/task-states.ts
+++ b/src/scheduler/state/task-states.ts
@@ -6,6 +6,8 @@
  * states, and a task that is done stays done.
  */
 
+import TinyQueue from 'tinyqueue';
+
 /** Task states, as stored in the byte array. */
 const READY = 0;
 const ASSIGNED = 1;
@@ -17,6 +19,12 @@
   index: number;
   /** When the delay ends, in milliseconds on the monotonic clock. */
   readyAt: number;
+  /** Position among all tasks that were ever backed off. */
+  order: number;
+}
+
+function byReadyAt(a: BackedOffTask, b: BackedOffTask): number {
+  return a.readyAt - b.readyAt;
 }
 
 /** Which tasks of one job are ready, assigned to a machine, done or backed off. */
@@ -32,7 +40,9 @@
   private nextUnpopped = 0;
   /** Stack of tasks that became ready again. Some may have changed state since. */
   private readonly requeued: number[] = [];
-  private readonly backedOff: BackedOffTask[] = [];
+  /** The task whose delay ends first is at the top. */
+  private readonly backedOff = new TinyQueue<BackedOffTask>([], byReadyAt);
+  private backedOffSoFar = 0;
 
   constructor(private readonly size: number) {
     this.states = new Uint8Array(size);
@@ -90,18 +100,21 @@
     if (this.states[index] !== ASSIGNED) return;
     if (readyAt > 0) {
       this.states[index] = BACKED_OFF;
-      this.backedOff.push({ index, readyAt });
+      this.backedOff.push({ index, readyAt, order: this.backedOffSoFar++ });
     } else this.markReady(index);
   }
 
-  /** Makes the tasks ready whose delay has ended. */
+  /** Makes the tasks ready whose delay has ended; the one that was backed off first is placed first. */
   releaseBackedOff(now: number): void {
-    for (let i = this.backedOff.length - 1; i >= 0; i--) {
-      const { index, readyAt } = this.backedOff[i] as BackedOffTask;
-      if (readyAt > now) continue;
-      this.backedOff.splice(i, 1);
-      if (this.states[index] === BACKED_OFF) this.markReady(index);
+    const due: BackedOffTask[] = [];
+    for (let next = this.backedOff.peek(); next; next = this.backedOff.peek()) {
+      if (next.readyAt > now) break;
+      due.push(next);
+      this.backedOff.pop();
     }
+    // The stack of requeued tasks returns the last one first.
+    due.sort((a, b) => b.order - a.order);
+    for (const { index } of due) if (this.states[index] === BACKED_OFF) this.markReady(index);
   }
 
   /** Returns the bitmap of the finished tasks in a chunk, the lowest task first. */
--- a/test/task-states.test.ts
+++ b/test/task-states.test.ts
@@ -71,3 +71,35 @@
   );
   assert.deepEqual([restored.doneCount, restored.readyCount], [6, 15]);
 });
+
+/** Guards against a walk over all delayed tasks in each round, plan and heartbeat. */
+test('tasks whose delay has not ended are not looked at again, and those that are due are released in the order of their delays', () => {
+  const count = 2000;
+  const states = new TaskStates(count + 1);
+  let comparisons = 0;
+  /** A time that counts how often it is looked at. */
+  const countedTime = (ms: number) =>
+    ({
+      valueOf: () => {
+        comparisons++;
+        return ms;
+      },
+    }) as unknown as number;
+  for (let index = 0; index < count; index++) {
+    states.markAssigned(index);
+    states.requeue(index, countedTime(index % 2 === 0 ? 1000 : 5000));
+  }
+  comparisons = 0;
+  for (let now = 0; now < 100; now++) states.releaseBackedOff(now);
+  assert.ok(comparisons <= 200, `${comparisons} comparisons while nothing is due`);
+  states.releaseBackedOff(1000);
+  assert.equal(states.backedOffCount, count / 2);
+  const released = Array.from({ length: count / 2 }, () => states.popReady());
+  assert.deepEqual(
+    released,
+    Array.from({ length: count / 2 }, (_, i) => 2 * i),
+  );
+  comparisons = 0;
+  for (let now = 1001; now < 1100; now++) states.releaseBackedOff(now);
+  assert.ok(comparisons <= 200, `${comparisons} comparisons while nothing is due`);
+});
