--- a/test/benchmarks/event-loop.ts
+++ b/test/benchmarks/event-loop.ts
@@ -32,10 +32,11 @@
 function report(activity: string, work: () => unknown): void {
   const startedAt = performance.now();
   const result = work();
+  const remark = typeof result === 'string' ? result : '';
   const ms = performance.now() - startedAt;
   const smallShareMs = ms / SMALL_SHARE_OF_A_CORE;
   process.stdout.write(
-    `${activity.padEnd(66)} ${ms.toFixed(1).padStart(8)} ms  ${smallShareMs.toFixed(0).padStart(7)} ms at 4%  ${result ?? ''}\n`,
+    `${activity.padEnd(66)} ${ms.toFixed(1).padStart(8)} ms  ${smallShareMs.toFixed(0).padStart(7)} ms at 4%  ${remark}\n`,
   );
 }
 
