Tests: roster, bitmaps and dependency pages are restored in turns, with changes in between

Cause: the turns of the job list had tests with changes between them, those of the other records of a restoration had none. A cancellation that is announced between two bitmaps marks those of its job for deletion whether they were restored before or not; a term that ends leaves out the other pages.

--- a/test/job-watch.test.ts
+++ b/test/job-watch.test.ts
@@ -6,11 +6,14 @@
 import { StateRestoration } from '../src/controller/leader/state-restoration.js';
 import { STEPS_PER_RECORD, STEPS_PER_TURN } from '../src/controller/work-in-turns.js';
 import type { EntryPage } from '../src/protocol/key-value-protocol.js';
+import { encodeFinishedTasks } from '../src/records/finished-tasks-record.js';
 import { encodeLiveJob } from '../src/records/job-record.js';
+import { dependencyPageKey } from '../src/records/keys.js';
+import { encodeRosterPage } from '../src/records/roster-record.js';
 import { AbortedError } from '../src/runtime/clock.js';
 import { FakeClock, settle } from './support/clock.js';
 import { createContext } from './support/context.js';
-import { createCluster, jobSpec } from './support/scheduler.js';
+import { createCluster, jobSpec, rosterEntry } from './support/scheduler.js';
 import { FakeStateService, FakeStore, PAGE_ENTRIES } from './support/state.js';
 import { TurnProbe } from './support/turn-probe.js';
 
@@ -197,6 +200,60 @@
   stop.abort();
 });
 
+test('stored progress is restored in turns, and what belongs to a job that ends meanwhile is marked for deletion', async () => {
+  const { store, cluster, accept, remove, restoration } = createWatch();
+  const bits = encodeFinishedTasks(Uint8Array.of(1));
+  const keys: string[] = [];
+  for (let n = 1; n <= MANY_JOBS; n++) {
+    accept(n);
+    const key = cluster.bitmaps.chunkKey(jobId(n), 0);
+    keys.push(key);
+    store.transact([], [{ op: 'put', key, value: bits }]);
+    store.transact([], [{ op: 'put', key: dependencyPageKey(jobId(n), 0), value: [] }]);
+  }
+  const restored = () =>
+    [...cluster.jobs.values()].filter((job) => job.chunkVersions.size > 0).length;
+  const probe = new TurnProbe(restored);
+  probe.when(partlyAdded, () => {
+    // The bitmap of the first job has been restored, that of the last one has not.
+    cluster.announceCancellation(jobId(1), remove(1));
+    cluster.announceCancellation(jobId(MANY_JOBS), remove(MANY_JOBS));
+  });
+  await restoration.run();
+  probe.stop();
+  assert.ok(probe.largestStep <= MAX_JOBS_PER_TURN, `${probe.largestStep} bitmaps in one turn`);
+  assert.equal(restored(), MANY_JOBS - 2);
+  const ended = [1, MANY_JOBS].flatMap((n) => [keys[n - 1], dependencyPageKey(jobId(n), 0)]);
+  assert.deepEqual([...cluster.obsoleteKeys].sort(), ended.sort());
+});
+
+test('a roster is restored in turns, and a term that ends meanwhile leaves out the other pages', async () => {
+  for (const aborted of [false, true]) {
+    const { store, cluster, stop, restoration } = createWatch();
+    const machinesPerPage = 200;
+    const pages = 40;
+    for (let page = 0; page < pages; page++) {
+      const machines = Array.from({ length: machinesPerPage }, (_, i) =>
+        rosterEntry(page * machinesPerPage + i),
+      );
+      const value = encodeRosterPage(machines);
+      store.transact([], [{ op: 'put', key: `roster/1-${page}`, value }]);
+    }
+    const probe = new TurnProbe(() => cluster.machines.size);
+    if (aborted)
+      probe.when(
+        (machines) => machines > 1000,
+        () => stop.abort(),
+      );
+    const run = restoration.run();
+    if (aborted) await assert.rejects(run, AbortedError);
+    else await run;
+    probe.stop();
+    assert.ok(probe.largestStep <= STEPS_PER_TURN / 4 + machinesPerPage, `${probe.largestStep}`);
+    assert.equal(cluster.machines.size < pages * machinesPerPage, aborted);
+  }
+});
+
 test('a term that ends while jobs are added leaves out the others', async () => {
   const { cluster, stop, accept, restoration } = createWatch();
   for (let n = 1; n <= MANY_JOBS; n++) accept(n);
