--- /dev/null
+++ b/review/stand-ins-2/deployment.mjs
@@ -0,0 +1,259 @@
+/**
+ * A small deployment on loopback: the project's controllers as processes of their own,
+ * started with the run line of deploy/service.toml, and stand-ins for everything else.
+ */
+import { spawn } from 'node:child_process';
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import net from 'node:net';
+import { tmpdir } from 'node:os';
+import { dirname, join, resolve } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { Cloud } from './cloud.mjs';
+import { callJson, sleep } from './http.mjs';
+import { Proxy } from './proxy.mjs';
+import { Record } from './record.mjs';
+import { StateService } from './state.mjs';
+
+export const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '../..');
+
+async function freePorts(count) {
+  const servers = [];
+  for (let i = 0; i < count; i++) {
+    const server = net.createServer();
+    await new Promise((done) => server.listen(0, '127.0.0.1', done));
+    servers.push(server);
+  }
+  const ports = servers.map((server) => server.address().port);
+  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
+  return ports;
+}
+
+/** The program and arguments of the deploy file's run line. */
+function runLine() {
+  const text = readFileSync(join(ROOT, 'deploy/service.toml'), 'utf8');
+  const line = /^run = "(.*)"$/m.exec(text)?.[1];
+  if (!line) throw new Error('deploy/service.toml has no run line');
+  return line.split(' ');
+}
+
+export class Deployment {
+  jobs = new Map();
+  results = new Set();
+  processes = new Map();
+  /** Tasks on machines: what happened, in order. */
+  taskEvents = [];
+
+  constructor({ folder, settings, zones, types, capacity }) {
+    Object.assign(this, { folder, settings, zones, types, capacity });
+    this.record = new Record(join(folder, 'record.txt'));
+    this.temporary = mkdtempSync(join(tmpdir(), 'review-'));
+  }
+
+  /** Starts the stand-ins and the controllers, and waits until these are healthy. */
+  async start() {
+    const { settings, record } = this;
+    const names = this.zones.map((_, i) => `wagon-${i}`);
+    const ports = await freePorts(names.length * 2);
+    this.nodes = names.map((node, i) => ({
+      node,
+      zone: this.zones[i],
+      bind: `127.0.0.1:${ports[i * 2]}`,
+      peerListen: `127.0.0.1:${ports[i * 2 + 1]}`,
+    }));
+    this.state = new StateService(settings.state);
+    await this.state.start(names);
+    this.cloud = new Cloud({
+      types: this.types,
+      settings: settings.cloud,
+      record,
+      workerOptions: {
+        jobs: this.jobs,
+        results: this.results,
+        nodes: this.nodes.map(({ node, bind }) => ({ node, address: bind })),
+        workers: settings.workers,
+        record,
+        events: (kind, fields) => this.taskEvents.push({ kind, at: record.now, ...fields }),
+      },
+      capacity: this.capacity,
+    });
+    await this.cloud.start();
+    /** By `from>to`: the link on which one controller reaches another. */
+    this.links = new Map();
+    /** By node: the link to the state service. */
+    this.stateLinks = new Map();
+    for (const from of this.nodes) {
+      this.stateLinks.set(from.node, await new Proxy().start(this.state.addressFor(from.node)));
+      for (const to of this.nodes)
+        if (from !== to)
+          this.links.set(`${from.node}>${to.node}`, await new Proxy().start(to.peerListen));
+    }
+    for (const node of this.nodes) this.spawn(node.node);
+    for (const node of this.nodes) await this.healthy(node.node);
+    record.line('test', 'all controllers are healthy');
+  }
+
+  node(name) {
+    return this.nodes.find(({ node }) => node === name);
+  }
+
+  settingsOf({ node, zone, bind, peerListen }) {
+    return {
+      node,
+      zone,
+      bind,
+      peer_listen: peerListen,
+      peers: this.nodes
+        .filter((other) => other.node !== node)
+        .map((other) => ({
+          node: other.node,
+          zone: other.zone,
+          address: this.links.get(`${node}>${other.node}`).address,
+        })),
+      external: { cloud: this.cloud.address, state: this.stateLinks.get(node).address },
+      settings: this.settings,
+    };
+  }
+
+  spawn(name) {
+    const file = join(this.temporary, `${name}.json`);
+    writeFileSync(file, JSON.stringify(this.settingsOf(this.node(name))));
+    const [program, ...args] = runLine();
+    const log = openSync(join(this.temporary, `${name}.log`), 'a');
+    const child = spawn(program, [...args, file], {
+      cwd: ROOT,
+      env: { ...process.env, LOG_LEVEL: process.env.LOG_LEVEL ?? 'info' },
+      stdio: ['ignore', 'ignore', log],
+    });
+    closeSync(log);
+    child.on('exit', (code, signal) => {
+      if (this.processes.get(name) === child) this.processes.delete(name);
+      if (!this.ending && !child.expected)
+        this.record.line(name, `ended by itself: code ${code}, signal ${signal}`);
+    });
+    this.processes.set(name, child);
+    this.record.line('test', `${name} started`);
+    return child;
+  }
+
+  kill(name) {
+    const child = this.processes.get(name);
+    if (!child) return;
+    child.expected = true;
+    child.kill('SIGKILL');
+    this.record.line('test', `${name} killed`);
+  }
+
+  signal(name, signal) {
+    this.processes.get(name)?.kill(signal);
+    this.record.line('test', `${signal} to ${name}`);
+  }
+
+  async healthy(name, withinMs = 15_000) {
+    const until = performance.now() + withinMs;
+    while (performance.now() < until) {
+      try {
+        const { status } = await callJson(this.node(name).bind, 'GET', '/healthz', undefined, {
+          timeoutMs: 1000,
+        });
+        if (status === 200) return;
+      } catch {}
+      await sleep(100);
+    }
+    throw new Error(`${name} is not healthy in time`);
+  }
+
+  /** The leader by the state service's key; null while there is none. */
+  get leader() {
+    return this.state.entries.get('leader')?.v.node ?? null;
+  }
+
+  async waitFor(what, condition, withinMs) {
+    const until = performance.now() + withinMs;
+    while (performance.now() < until) {
+      const value = await condition();
+      if (value) return value;
+      await sleep(50);
+    }
+    throw new Error(`not within ${withinMs / 1000} s: ${what}`);
+  }
+
+  /** Makes the job's description known to the workers, as users do. */
+  upload(job, runS, runSOf) {
+    this.jobs.set(job.id, { ...job, runS, runSOf });
+  }
+
+  async user(name, method, path, body, timeoutMs = 5000) {
+    const what = `${method} ${path} at ${name}`;
+    this.record.line('user', `asks ${what}`);
+    try {
+      const reply = await callJson(this.node(name).bind, method, path, body, { timeoutMs });
+      this.record.line('user', `gets ${reply.status} ${JSON.stringify(reply.body)} to ${what}`);
+      return reply;
+    } catch (error) {
+      this.record.line('user', `gets nothing (${error.message}) to ${what}`);
+      return { status: 0, body: {} };
+    }
+  }
+
+  submit(name, job, runS, runSOf) {
+    this.upload(job, runS, runSOf);
+    return this.user(name, 'POST', '/v1/jobs', job);
+  }
+
+  query(name, id) {
+    return this.user(name, 'GET', `/v1/jobs/${id}`, undefined, 2000);
+  }
+
+  withdraw(name, id) {
+    return this.user(name, 'POST', `/v1/jobs/${id}/withdraw`, {});
+  }
+
+  /** Ends every process and server of the run. `KEEP=1` keeps the temporary folder with the logs. */
+  async end() {
+    this.ending = true;
+    const children = [...this.processes.values()];
+    for (const child of children) {
+      child.kill('SIGCONT');
+      child.kill('SIGKILL');
+    }
+    await Promise.all(
+      children.map((child) => child.exitCode ?? child.signalCode ?? new Promise((r) => child.once('exit', r))),
+    );
+    this.cloud?.close();
+    for (const link of [...(this.links?.values() ?? []), ...(this.stateLinks?.values() ?? [])])
+      link.close();
+    this.state?.close();
+    if (process.env.KEEP) console.error(this.temporary);
+    else rmSync(this.temporary, { recursive: true, force: true });
+  }
+}
+
+/**
+ * Runs a case and exits as the review asks: 1 if the rule was broken, 0 if it held, 2 if
+ * the case couldn't run. `scenario(deployment)` resolves to what was broken, or to null.
+ */
+export async function runCase(options, scenario) {
+  const deployment = new Deployment(options);
+  let code = 2;
+  const timer = setTimeout(() => {
+    deployment.record.line('test', 'COULD NOT RUN: over 118 s');
+    void finish(2);
+  }, 118_000);
+  const finish = async (exitCode) => {
+    clearTimeout(timer);
+    await deployment.end();
+    process.exit(exitCode);
+  };
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => void finish(2));
+  try {
+    await deployment.start();
+    const broken = await scenario(deployment);
+    deployment.record.line('test', broken ? `BROKEN: ${broken}` : 'HELD');
+    console.log(broken ? `BROKEN: ${broken}` : 'HELD');
+    code = broken ? 1 : 0;
+  } catch (error) {
+    deployment.record.line('test', `COULD NOT RUN: ${error.stack}`);
+    console.log(`COULD NOT RUN: ${error.message}`);
+  }
+  await finish(code);
+}
