--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -16,16 +16,22 @@
 
 export const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '../..');
 
+/**
+ * Returns ports that are free now. They lie below those that the system gives to clients
+ * and to the stand-ins, so that none is taken while a controller is away.
+ */
 async function freePorts(count) {
-  const servers = [];
-  for (let i = 0; i < count; i++) {
-    const server = net.createServer();
-    await new Promise((done) => server.listen(0, '127.0.0.1', done));
-    servers.push(server);
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = 12_000 + Math.floor(Math.random() * 18_000);
+    const isFree = await new Promise((resolve) => {
+      const server = net.createServer();
+      server.once('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+    });
+    if (isFree) ports.add(port);
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
-  return ports;
+  return [...ports];
 }
 
 /** The program and arguments of the deploy file's run line. */
