--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -16,20 +16,32 @@
 
 export const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '../..');
 
+const LOOPBACK = '127.0.0.1';
+
+function canListen(host, port) {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
+}
+
+/** A loopback address that no other run beside this one uses, where the system has more than one. */
+async function ownLoopbackAddress() {
+  const part = () => 2 + Math.floor(Math.random() * 250);
+  const host = `127.${part()}.${part()}.${part()}`;
+  return (await canListen(host, 0)) ? host : LOOPBACK;
+}
+
 /**
  * Returns ports that are free now. They lie below those that the system gives to clients
  * and to the stand-ins, so that none is taken while a controller is away.
  */
-async function freePorts(count) {
+async function freePorts(host, count) {
   const ports = new Set();
   while (ports.size < count) {
     const port = 12_000 + Math.floor(Math.random() * 18_000);
-    const isFree = await new Promise((resolve) => {
-      const server = net.createServer();
-      server.once('error', () => resolve(false));
-      server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
-    });
-    if (isFree) ports.add(port);
+    if (await canListen(host, port)) ports.add(port);
   }
   return [...ports];
 }
@@ -59,12 +71,13 @@
   async start() {
     const { settings, record } = this;
     const names = this.zones.map((_, i) => `wagon-${i}`);
-    const ports = await freePorts(names.length * 2);
+    const host = await ownLoopbackAddress();
+    const ports = await freePorts(host, names.length * 2);
     this.nodes = names.map((node, i) => ({
       node,
       zone: this.zones[i],
-      bind: `127.0.0.1:${ports[i * 2]}`,
-      peerListen: `127.0.0.1:${ports[i * 2 + 1]}`,
+      bind: `${host}:${ports[i * 2]}`,
+      peerListen: `${host}:${ports[i * 2 + 1]}`,
     }));
     this.state = new StateService(settings.state);
     await this.state.start(names);
@@ -157,6 +170,7 @@
   async healthy(name, withinMs = 15_000) {
     const until = performance.now() + withinMs;
     while (performance.now() < until) {
+      if (!this.processes.has(name)) throw new Error(`${name} has ended`);
       try {
         const { status } = await callJson(this.node(name).bind, 'GET', '/healthz', undefined, {
           timeoutMs: 1000,
