--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 for file in stand-ins-2/*.mjs [4-8]/*.mjs; do
-  [ -f "$file" ] && node --check "$file"
+  if [ -f "$file" ]; then node --check "$file"; fi
 done
 echo "stand-ins are ready"
